Log the state, the counts and the resets that explain a bad stretch

Until now the log told of rate cuts and ejected servers only. Two lines every 5 s now say what the requests waited for, how attempts ended and what became of connections, and a reset is logged with its class and the connection's age.

--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -41,6 +41,8 @@
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  std::size_t sessions() const { return sessions_.size(); }
+
   // From now on each answer closes its connection.
   void Drain() { draining_ = true; }
   // Takes what has connected so far, then closes the listener and the connections between requests.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 constexpr Millis kAnswerAll = 3300;  // after SIGTERM: all deadlines are over, SIGKILL comes at 3,700 or later
 constexpr Millis kFlush = 200;       // for the last answers to leave
 constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
+constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kSpareSockets = 64;  // listener, discovery, standard streams, the loop's own, and room
 
 // Descriptors that may be used, by the configuration and by the system.
@@ -90,10 +91,12 @@
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
       stop_(io),
       ask_again_(io),
+      counting_(io),
       clients_(io, config.listen, std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3), config.settings,
                {[this] { return listed_ && !stopping_; },
                 [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id) {
+                  ++gone_;
                   if (Flow* const flow = Find(id)) {
                     flow->answered = true;  // nothing is owed any more
                     flow->overdue.cancel();
@@ -102,6 +105,11 @@
                 }}) {
   Told(config.known);
   if (!settings_.ask_for_list) discovery_.Watch();
+  for (const ClassSettings& c : settings_.classes) {
+    std::fprintf(stderr, "class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f\n",
+                 c.name.c_str(), c.aim, c.deadline, c.worth, c.late_worth);
+  }
+  CountLater();
 }
 
 void Gateway::Take(ClientRequest request) {
@@ -166,6 +174,28 @@
   Report(ClientGone{id});
 }
 
+void Gateway::CountLater() {
+  counting_.expires_after(Span(kCountEvery));
+  counting_.async_wait([this](error_code ec) {
+    if (!ec) LogCounts();
+  });
+}
+
+// Every few seconds, what became of the connections since the last such line.
+void Gateway::LogCounts() {
+  const HostPool::Counts& now = hosts_.counts();
+  const HostPool::Counts was = std::exchange(counted_, now);
+  const auto since = [](std::uint64_t a, std::uint64_t b) { return static_cast<unsigned long long>(a - b); };
+  std::fprintf(stderr,
+               "sockets: hosts %zu clients %zu left %d | dialled %llu reused %llu stale %llu unusable %llu "
+               "reset new %llu reused %llu\n",
+               hosts_.connections(), clients_.sessions(), std::exchange(gone_, 0),
+               since(now.dialled, was.dialled), since(now.reused, was.reused), since(now.stale, was.stale),
+               since(now.unusable, was.unusable), since(now.reset_new, was.reset_new),
+               since(now.reset_reused, was.reset_reused));
+  CountLater();
+}
+
 void Gateway::Report(Event event) {
   events_.push_back(std::move(event));
   if (reporting_) return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -54,6 +54,8 @@
   void ListFailed();
   void Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response);
   void Overdue(const std::string& id);
+  void CountLater();
+  void LogCounts();
 
   // Hands an event to the policy and carries out what it says, one event after the other: what an action
   // causes at once waits in the queue.
@@ -82,6 +84,9 @@
   bool stopping_ = false;
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
+  boost::asio::steady_timer counting_;
+  HostPool::Counts counted_;  // as last logged
+  int gone_ = 0;              // clients that left unanswered, since then
   ClientServer clients_;
 };
 
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -21,6 +22,7 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+constexpr Millis kQuiet = 500;          // between two lines on resets
 constexpr double kIdleShare = 1.0 / 3;  // part of the hosts' idle limit after which a connection is closed
 
 // Only 503 and 504 with Srv-Declined prove that a request never ran.
@@ -99,6 +101,8 @@
   void Take(Job job) {
     job_ = std::move(job);
     written_ = broken_ = false;
+    ++uses_;
+    taken_at_ = Now();
     pool_.active_[job_->attempt] = shared_from_this();
   }
 
@@ -153,7 +157,23 @@
   void Written(error_code ec) {
     if (ec) return End(Result::kConnectFailed);  // its last byte never left: it can't have run
     written_ = true;
-    if (broken_) End(Result::kReset);
+    if (broken_) Broken(asio::error::connection_reset);
+  }
+
+  // An answer that never came whole. What broke it is logged, for the outcome alone does not tell.
+  void Broken(error_code ec) {
+    ++(uses_ > 1 ? pool_.counts_.reset_reused : pool_.counts_.reset_new);
+    if (Now() >= pool_.quiet_until_) {
+      pool_.quiet_until_ = Now() + kQuiet;
+      const auto kind = outgoing_["Req-Kind"];
+      std::fprintf(stderr,
+                   "reset by %s: %s, %.*s with %zu bytes of body, use %d of the connection, rested %.1f ms, "
+                   "broke after %.1f ms\n",
+                   host_.c_str(), ec.message().c_str(), static_cast<int>(kind.size()), kind.data(),
+                   outgoing_.body().size(), uses_, uses_ > 1 ? taken_at_ - rests_at_ : 0.0,
+                   Now() - taken_at_);
+    }
+    End(Result::kReset);
   }
 
   void Read() {
@@ -175,7 +195,7 @@
       return;
     }
     // Seen with Boost 1.74: an answer one byte over the parser's own limit got through.
-    if (ec || parser_->get().body().size() > kMostBody) return End(Result::kReset);
+    if (ec || parser_->get().body().size() > kMostBody) return Broken(ec);
     HttpResponse response = parser_->release();
     const bool reusable = response.keep_alive() && buffer_.size() == 0 && pool_.MayUse(host_, address_);
     // Back to the pool before the outcome is told, for it may lead to the next send.
@@ -189,6 +209,7 @@
   }
 
   void Rest() {
+    rests_at_ = Now();
     Read();
     Arm(Now() + pool_.limits_.idle_timeout * kIdleShare);
     pool_.hosts_[host_].idle.push_back(shared_from_this());
@@ -207,6 +228,8 @@
   bool open_ = false;
   bool written_ = false;  // all of the request
   bool broken_ = false;   // before it was known to be written
+  int uses_ = 0;          // requests it was given
+  Millis taken_at_ = 0, rests_at_ = 0;
 };
 
 HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
@@ -232,6 +255,7 @@
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
   if (found == hosts_.end() || Now() >= deadline) {
+    ++counts_.unusable;
     done(Result::kNotSent, {});
     return attempt;
   }
@@ -241,19 +265,24 @@
     const auto connection = std::move(idle.back());
     idle.pop_back();
     if (connection->Fresh()) {
+      ++counts_.reused;
       connection->Run(std::move(job));
       return attempt;
     }
+    ++counts_.stale;
     connection->Close();
   }
   if (connections_ >= limits_.connections && !EvictIdle()) {
+    ++counts_.unusable;
     job.done(Result::kNotSent, {});
     return attempt;
   }
   const auto connection = std::make_shared<Connection>(*this, host, found->second.address);
   if (connection->Open()) {
+    ++counts_.dialled;
     connection->Dial(std::move(job));
   } else {
+    ++counts_.unusable;
     job.done(Result::kNotSent, {});
   }
   return attempt;
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -44,6 +44,14 @@
 
   std::size_t connections() const { return connections_; }
 
+  // What became of the connections, from the start on.
+  struct Counts {
+    std::uint64_t dialled = 0, reused = 0, stale = 0;  // stale: found closed when it was to be reused
+    std::uint64_t reset_new = 0, reset_reused = 0;     // broke after the request was written
+    std::uint64_t unusable = 0;                        // attempts without a place or a host to go to
+  };
+  const Counts& counts() const { return counts_; }
+
  private:
   class Connection;
   struct HostState {
@@ -62,6 +70,8 @@
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
   std::size_t connections_ = 0;
+  Counts counts_;
+  Millis quiet_until_ = 0;  // no line on a reset is logged before
   std::uint64_t next_attempt_ = 1;
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,6 +14,7 @@
 // ---- Constants. General choices of the mechanism, tied to no deployment. ------------------------
 
 constexpr Millis kSweepEvery = 10;      // ms between sweeps: queue expiry
+constexpr Millis kSummaryEvery = 5000;  // ms between the log lines that tell the state
 constexpr Millis kAnswerBefore = 20;    // ms before the client leaves: two sweeps, timers may come late
 constexpr double kStartRate = 1000;     // tokens/s a server: "starting high", far above any use
 constexpr double kRaise = 0.3;          // tokens/s gained by each timely answer
@@ -404,6 +405,7 @@
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
     arriving_ += 1 / kLongMemory;
+    ++counts_.arrived;
     const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
     flow.leaves_at = now_ + left;
     // A further try has less time left than a first one. If its aim is long past, it is worth as little
@@ -414,10 +416,16 @@
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
-    if (late && c.set.late_worth <= 0) return Answer(flow);           // worth nothing any more
-    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);  // no sweep may come in time
+    const bool in_vain = late && c.set.late_worth <= 0;       // worth nothing any more
+    if (in_vain || now_ >= flow.leaves_at - kAnswerBefore) {  // or no sweep may come in time
+      ++counts_.late;
+      return Answer(flow);
+    }
     if (queued_ == 0 && tokens_ > 0) {
-      if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
+      if (Backend* b = Pick(flow)) {
+        ++counts_.direct;
+        return Dispatch(flow, *b);
+      }
     }
     Enqueue(flow);
   }
@@ -426,6 +434,7 @@
     Tier& c = classes_[flow.cls];
     const double most = spent_rate_ * c.set.aim / 1000 + 32;  // more can't be served in time
     if (static_cast<double>(c.Size()) >= most) {
+      ++counts_.full;
       if (!flow.in_share || c.over_share.empty()) return Answer(flow);
       Flow* evicted = c.over_share.back();
       Unqueue(*evicted);
@@ -451,6 +460,7 @@
       }
     }
     for (Flow* flow : due_) {
+      ++counts_.waited;
       Unqueue(*flow);
       Answer(*flow);
     }
@@ -476,6 +486,8 @@
       for (Tier& c : classes_) c.credit = std::min(kCreditCap, c.credit + (c.Size() > 0 ? c.weight : 0));
       best->credit = std::max(-kCreditCap, best->credit - 1);
       Unqueue(flow);
+      ++counts_.released;
+      counts_.held += now_ - flow.arrived;
       Dispatch(flow, *b);
     }
   }
@@ -505,6 +517,8 @@
         o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
     Backend& b = *attempt.server;
     --b.in_flight;
+    ++counts_.outcomes[static_cast<int>(o.result)];
+    counts_.slow += o.result == Result::kServed && now_ > flow.aim_at;
     if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
     if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
       MoveRate(b, flow, o);  // first: by whether the server was held ready until now
@@ -528,7 +542,10 @@
     const bool heavy = result == Result::kTimedOut && !flow.attempts.back().server->suspect;
     const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
     const bool more = static_cast<int>(flow.attempts.size()) < set_.max_attempts;
-    if (!legal || heavy || !in_time || !more || retry_budget_ < 1) return Answer(flow);
+    if (!legal || heavy || !in_time || !more || retry_budget_ < 1) {
+      ++counts_.spoiled;
+      return Answer(flow);
+    }
     retry_budget_ -= 1;
     Hold(flow, classes_[flow.cls].retries);
   }
@@ -581,6 +598,9 @@
     }
     LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
     ExpireQueued();
+    if (now_ >= counted_at_ + kSummaryEvery) {
+      if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary()});
+    }
   }
 
   void Emit(Action action) { out_->push_back(std::move(action)); }
