--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -42,6 +42,7 @@
 constexpr double kReportStart = 2;      // the same where servers report: growth follows as they show room
 constexpr double kLeastLimit = 1;       // the same, least that a crowded server keeps
 constexpr double kErrWeight = 0.2;      // weight of a new outcome in a server's failing share
+constexpr double kBrokenWeight = 0.05;  // the same of a connection that broke though the server answers
 constexpr double kErrOut = 0.3;         // failing share above which a server is suspect
 constexpr double kErrBack = 0.1;        // and below which, after trials, it is trusted again
 constexpr Millis kTrialGap = 300;       // ms to the first trial of a suspect; doubles
@@ -237,9 +238,11 @@
     if (dropped && b.failing >= kErrWeight && now_ - b.last_served > kLostAfter) b.lost = true;
     // One slow request among others that were answered meanwhile says nothing about the server.
     const bool heavy = outcome.result == Result::kTimedOut && b.last_served > now_ - outcome.latency;
+    // A connection that broke while the process lives says little: the network may break a share of all.
+    const bool broken = outcome.result == Result::kReset && b.last_served > now_ - kLostAfter;
     if (served) b.last_served = now_;
     if (served && Warmth(b) >= 1) warm_served_ += 1;
-    if (!heavy) b.failing += kErrWeight * ((served ? 0.0 : 1.0) - b.failing);
+    if (!heavy) b.failing += (broken ? kBrokenWeight : kErrWeight) * ((served ? 0.0 : 1.0) - b.failing);
     if (served && b.suspect) {
       b.next_trial = now_;
       b.trial_gap = kTrialGap;
@@ -363,9 +366,10 @@
     arriving_ *= std::exp(-passed / kLongMemory);
   }
 
-  // Failures that one server explains eject it; only those of servers held ready move the rate.
+  // Failures that one server explains eject it; only those of servers held ready move the rate. A broken
+  // connection tells nothing of load: one that can't take more rejects, is late, or fails to connect.
   void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome) {
-    if (b.suspect) return;
+    if (b.suspect || outcome.result == Result::kReset) return;
     const bool served = outcome.result == Result::kServed;
     const bool timely = served && now_ <= flow.aim_at;
     failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -353,6 +354,50 @@
   EXPECT_TRUE(cut);
 }
 
+// Sixteen requests each 20 ms to four servers; of the answers of s0, and of those of the others, so many
+// in a hundred break on the way. Returns the lines logged, and how many s0 was sent in the last second.
+std::pair<std::vector<std::string>, int> WithBrokenConnections(unsigned of_s0, unsigned of_others) {
+  Gateway g;
+  g.Servers(4);
+  g.Serve(100, 10);
+  std::mt19937 dice(7);
+  std::vector<std::string> lines;
+  int last = 0;
+  const auto keep = [&](const std::vector<Action>& actions) {
+    for (const Action& a : actions) {
+      if (const auto* log = std::get_if<Log>(&a); log && !log->text.starts_with("state")) {
+        lines.push_back(log->text);
+      }
+    }
+  };
+  for (int round = 0; round < 400; ++round) {
+    std::map<std::string, std::string> sent;
+    for (int i = 0; i < 16; ++i) {
+      const std::string id = "r" + std::to_string(round) + "." + std::to_string(i);
+      if (const std::string to = Gateway::SentTo(g.Ask(id, "pay")); !to.empty()) sent[id] = to;
+    }
+    keep(g.Pass(20));
+    for (const auto& [id, to] : sent) {
+      last += round >= 350 && to == "s0";
+      const bool broken = dice() % 100 < (to == "s0" ? of_s0 : of_others);
+      keep(g.End(id, to, broken ? Result::kReset : Result::kServed, 20));
+    }
+  }
+  return {lines, last};
+}
+
+TEST(Reset, ConnectionsThatBreakEverywhereNeitherCutTheRateNorEjectServers) {
+  EXPECT_EQ(WithBrokenConnections(12, 12).first, std::vector<std::string>());
+}
+
+TEST(Reset, ServerThatBreaksAllItsConnectionsIsLeftAlone) {
+  EXPECT_LE(WithBrokenConnections(100, 0).second, 2);
+}
+
+TEST(Reset, ServerThatBreaksMostOfItsConnectionsIsLeftAlone) {
+  EXPECT_LE(WithBrokenConnections(80, 0).second, 20);
+}
+
 TEST(Retry, RejectedRequestGoesToAnotherServer) {
   Gateway g;
   g.Servers(2);
