--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -255,6 +255,8 @@
     } else if (!served && !heavy && (b.failing > kErrOut || b.suspect)) {
       Suspect(b);
     }
+    // Nor do they show crowding: a silent attempt has the length of its time-out, not of any queue.
+    if (heavy || broken) return;
     const double sample = outcome.latency / Relative(flow.cls);
     // A failure never lowers the latency: fast errors would look like a fast server.
     if (served || sample > b.latency) Measure(b, sample, served);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -319,6 +319,36 @@
 
 TEST(Hang, OneHungServerDoesNotCutTheRate) { EXPECT_FALSE(SentToHungServer(4).second); }
 
+// Three requests each 10 ms to three servers; all are answered in 10 ms but for one in thirty that gets no
+// answer in 250 ms, whichever server has it.
+TEST(Hang, RequestsThatGetNoAnswerAmongOthersThatDoHoldBackNoFurtherOnes) {
+  Gateway g;
+  g.Servers(3);
+  g.Serve(100, 10);
+  std::deque<std::tuple<Millis, std::string, std::string>> silent;
+  int asked = 0, direct = 0;
+  for (int round = 0; round < 1000; ++round) {
+    std::map<std::string, std::string> sent;
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = "r" + std::to_string(++asked);
+      const std::string to = Gateway::SentTo(g.Ask(id, "pay"));
+      if (to.empty()) continue;
+      ++direct;
+      if (asked % 31 == 0) {
+        silent.emplace_back(g.now + 250, id, to);
+      } else {
+        sent[id] = to;
+      }
+    }
+    g.Pass(10);
+    for (const auto& [id, to] : sent) g.End(id, to, Result::kServed, 10);
+    for (; !silent.empty() && std::get<0>(silent.front()) <= g.now; silent.pop_front()) {
+      g.End(std::get<1>(silent.front()), std::get<2>(silent.front()), Result::kTimedOut, 250);
+    }
+  }
+  EXPECT_GE(direct, asked * 99 / 100);
+}
+
 TEST(Hang, TrialThatTheFilledServerTurnsAwayIsNotRepeatedAtOnce) {
   Gateway g;
   g.Servers(3);
