--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -155,6 +155,7 @@
     b.latency = b.steady = b.base = b.failing = b.busy = b.samples = 0;
     b.limit = b.places = StartLimit();
     b.suspect = b.lost = false;
+    b.turned_away = 0;
     b.trial_gap = kTrialGap;
   }
 
@@ -231,8 +232,11 @@
     const bool served = outcome.result == Result::kServed;
     if (outcome.result == Result::kRejected) {  // full is not ill; its latency shows the crowding
       if (b.suspect) Suspect(b);  // but one that hangs fills up: a trial that it turns away has failed
+      // It needs time to work off what it has, and one that drains takes nothing more before the list tells.
+      b.rests_until = now_ + std::min(kTrialGap, b.latency * std::exp2(std::min(b.turned_away++, 30)));
       return;
     }
+    if (served) b.turned_away = 0;
     // A crowded server fails connections too: only one that long served nothing may be a new process.
     const bool dropped = outcome.result == Result::kConnectFailed || outcome.result == Result::kReset;
     if (dropped && b.failing >= kErrWeight && now_ - b.last_served > kLostAfter) b.lost = true;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -61,7 +61,8 @@
   double limit = 1;   // own requests it takes uncrowded; below 1 it rests between them
   double places = 1;  // the limit rounded by chance to whole requests
   Millis rests_until = kNever;
-  double failing = 0;  // smoothed share of failures
+  int turned_away = 0;  // requests in a row
+  double failing = 0;   // smoothed share of failures
   bool suspect = false;
   bool lost = false;  // a connection failed: it may come back as a new, cold process
   Millis next_trial = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -428,6 +428,38 @@
   EXPECT_LE(WithBrokenConnections(80, 0).second, 20);
 }
 
+// Eight requests each 20 ms to eight servers, of which s0 drains from some moment on, though the list does
+// not tell yet: it turns all away at once.
+TEST(Rejected, ServerThatTurnsAllAwayIsLeftAloneAndDoesNotCutTheRate) {
+  Gateway g;
+  g.Servers(8);
+  g.Serve(200, 20);
+  int rejected = 0;
+  bool cut = false;
+  for (int round = 0; round < 150; ++round) {
+    std::map<std::string, std::string> sent;
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(round) + "." + std::to_string(i);
+      std::string to = Gateway::SentTo(g.Ask(id));
+      for (int attempt = 0; to == "s0"; ++attempt) {
+        ++rejected;
+        const auto then = g.End(id, to, Result::kRejected, 1, attempt);
+        cut |= Gateway::Logged(then, "rate cut");
+        to = Gateway::SentTo(then);
+      }
+      if (!to.empty()) sent[id] = to;
+    }
+    g.Pass(20);
+    for (const auto& [id, to] : sent) {
+      const auto done =
+          std::count_if(g.sent.begin(), g.sent.end(), [&](const Send& s) { return s.request == id; });
+      g.End(id, to, Result::kServed, 20, static_cast<int>(done) - 1);
+    }
+  }
+  EXPECT_LE(rejected, 20);  // 3 s
+  EXPECT_FALSE(cut);
+}
+
 TEST(Retry, RejectedRequestGoesToAnotherServer) {
   Gateway g;
   g.Servers(2);
