Reload on SIGHUP: watch discovery where the file says now

Now SIGHUP reads the configuration file again, and discovery's address in it wins over the variable of the start; the watch goes on there at once from the last revision. A file that can't be read is named in the log and changes nothing.

The test starts the program, breaks the file, then moves discovery, and expects a request at the host that only the new discovery knows. Without the change the program has ended by then.

--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -70,16 +70,20 @@
   return *endpoint;
 }
 
-}  // namespace
-
-Config LoadConfig(const std::function<const char*(const char*)>& variable) {
+json ReadFile(const std::function<const char*(const char*)>& variable) {
   const char* const path = variable("NODE_CONFIG");
   if (path == nullptr) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream stream(path);
   if (!stream) throw ConfigError(std::string("NODE_CONFIG: can't read '") + path + "'");
-  const json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
+  json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
   if (!file.is_object()) throw ConfigError(std::string("NODE_CONFIG: '") + path + "' is no JSON object");
+  return file;
+}
 
+}  // namespace
+
+Config LoadConfig(const std::function<const char*(const char*)>& variable) {
+  const json file = ReadFile(variable);
   Config config;
   config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
   config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
@@ -102,4 +106,8 @@
   return config;
 }
 
+boost::asio::ip::tcp::endpoint LoadDiscovery(const std::function<const char*(const char*)>& variable) {
+  return ReadAddress(nullptr, "discovery", ReadFile(variable), "discovery");  // the variable is of the start
+}
+
 }  // namespace opalswitch::gateway
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -35,6 +35,9 @@
 // `variable` looks up an environment variable: null if it is not set. Throws ConfigError.
 Config LoadConfig(const std::function<const char*(const char*)>& variable);
 
+// The address of discovery that the file names now: what a reload may change. Throws ConfigError.
+boost::asio::ip::tcp::endpoint LoadDiscovery(const std::function<const char*(const char*)>& variable);
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_GATEWAY_CONFIG_HPP_
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -145,21 +145,34 @@
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
   pause_.async_wait([this](error_code ec) {
-    if (!ec) Ask();
+    if (!ec && !call_) Ask();
   });
 }
 
 void Discovery::Fail(const std::shared_ptr<Call>& call) {
   if (call != call_) return;
+  Drop();
+  watching_ = false;
+  handlers_.failed();
+}
+
+// Ends the call that is on, and the connection.
+void Discovery::Drop() {
+  if (call_) call_->timer.cancel();
   call_.reset();
-  call->timer.cancel();
   if (socket_) {
     error_code ignored;
     socket_->close(ignored);
     socket_.reset();
   }
-  watching_ = false;
-  handlers_.failed();
+}
+
+void Discovery::Move(const tcp::endpoint& address) {
+  Drop();
+  pause_.cancel();
+  address_ = address;
+  watching_ = true;
+  Ask();
 }
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -45,15 +45,19 @@
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
 
+  // Discovery has another address from now on: begins a watch there at once, from the last revision known.
+  void Move(const boost::asio::ip::tcp::endpoint& address);
+
  private:
   struct Call;
   void Ask();
   void Connected(const std::shared_ptr<Call>& call);
   void Answered(const std::shared_ptr<Call>& call);
   void Fail(const std::shared_ptr<Call>& call);
+  void Drop();
 
   boost::asio::io_context& io_;
-  const boost::asio::ip::tcp::endpoint address_;
+  boost::asio::ip::tcp::endpoint address_;
   std::int64_t revision_;
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -136,6 +136,12 @@
   Report(ToNews(list));
 }
 
+void Gateway::MoveDiscovery(const asio::ip::tcp::endpoint& address) {
+  std::fprintf(stderr, "discovery is at %s:%d now\n", address.address().to_string().c_str(), address.port());
+  ask_again_.cancel();
+  discovery_.Move(address);
+}
+
 void Gateway::ListFailed() {
   Report(ServerNews{ServerNews::Kind::kFailed, {}});
   if (settings_.ask_for_list) return;  // the policy says when to ask again
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -28,6 +28,9 @@
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
+  // From now on the list of hosts comes from there.
+  void MoveDiscovery(const boost::asio::ip::tcp::endpoint& address);
+
   // A planned end: goes on accepting for a moment, answers all that was taken, then calls `done`.
   void Stop(std::function<void()> done);
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,10 +1,11 @@
-// forkwick: one gateway on real sockets. Runs in the foreground until SIGTERM.
+// forkwick: one gateway on real sockets. Runs in the foreground until SIGTERM; SIGHUP reloads.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 
 #include "config.hpp"
 #include "gateway.hpp"
@@ -12,13 +13,27 @@
 int main() {
   namespace gw = opalswitch::gateway;
   try {
-    const gw::Config config = gw::LoadConfig([](const char* name) { return std::getenv(name); });
+    const auto variable = [](const char* name) -> const char* { return std::getenv(name); };
+    const gw::Config config = gw::LoadConfig(variable);
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     gw::Gateway gateway(io, config);
     signals.async_wait([&](const boost::system::error_code& ec, int) {
       if (!ec) gateway.Stop([&] { io.stop(); });
     });
+    // Discovery may move: its new address stands in the file that the platform has put in place.
+    boost::asio::signal_set reloads(io, SIGHUP);
+    const std::function<void(const boost::system::error_code&, int)> reload =
+        [&](const boost::system::error_code& ec, int) {
+          if (ec) return;
+          try {
+            gateway.MoveDiscovery(gw::LoadDiscovery(variable));
+          } catch (const gw::ConfigError& error) {  // the old one stays in force
+            std::fprintf(stderr, "forkwick: not reloaded: %s\n", error.what());
+          }
+          reloads.async_wait(reload);
+        };
+    reloads.async_wait(reload);
     io.run();
     return 0;
   } catch (const std::exception& error) {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -32,6 +32,7 @@
   }
 
   void Terminate() { kill(pid_, SIGTERM); }
+  void Reload() { kill(pid_, SIGHUP); }
   bool Ended() {
     if (!ended_) ended_ = waitpid(pid_, &status_, WNOHANG) == pid_;
     return ended_;
@@ -131,5 +132,43 @@
   EXPECT_EQ(process.Wait(), 0);
 }
 
+// Guards a reload as the platform does it: the file names another discovery, SIGHUP, and from then on the
+// list comes from there, whatever the variable said at the start. A file that can't be read changes nothing.
+TEST(Program, WatchesWhereTheReloadedFileSays) {
+  asio::io_context io;
+  Peer first(io), second(io), discovery(io), moved(io);
+  tcp::endpoint listen;
+  {  // a port that is free now
+    tcp::acceptor probe(io, Loopback());
+    listen = probe.local_endpoint();
+  }
+  nlohmann::json config = {{"seed", "1f"},
+                           {"known", List(1, true, {Member("h0", first.address())})},
+                           {"settings", TestSettings()}};
+  const File file(config.dump());
+  Process process({{"NODE_CONFIG", file.path},
+                   {"NODE_LISTEN", ToText(listen)},
+                   {"NODE_DISCOVERY", ToText(discovery.address())}});
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests.size() == 1; }));  // it listens by then
+
+  std::ofstream(file.path) << "{";
+  process.Reload();
+  ASSERT_TRUE(RunUntil(io, [&] { return process.Errors().find("not reloaded") != std::string::npos; }));
+
+  config["discovery"] = ToText(moved.address());
+  std::ofstream(file.path) << config;
+  process.Reload();
+  ASSERT_TRUE(RunUntil(io, [&] { return moved.requests.size() == 1; }));
+  EXPECT_NE(std::string(moved.requests[0].http.target()).find("after=1&"), std::string::npos);
+  moved.requests[0].Answer(200, List(2, true, {Member("h1", second.address())}).dump());
+  ASSERT_TRUE(RunUntil(io, [&] { return moved.requests.size() == 2; }));  // the list was taken in
+  Client client(io, listen);
+  client.Send(ApiCall("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return second.requests.size() == 1; }));
+  second.requests[0].Answer(200, "from there");
+  EXPECT_EQ(client.Await().body(), "from there");
+  EXPECT_FALSE(process.Ended());
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
