End connections within 3 s that bring no request, and bound what a request leaves unparsed

A chunk head without an end is a 400 once 32 KB are unparsed, and a connection at rest no longer keeps its last answer's body. The tests fail without the change: the silent peer is not closed, and the endless chunk head gets a 408 after 10 s instead of the 400.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -23,11 +23,13 @@
 
 constexpr Millis kSweepEvery = 500;
 constexpr Millis kIdle = 75000;          // a connection without a request is closed
-constexpr Millis kPartial = 10000;       // a request that was begun must be whole by then
+constexpr Millis kFirst = 2000;          // the first request of a connection must have begun by then
+constexpr Millis kPartial = 2000;        // a request that was begun must be whole by then
 constexpr Millis kUnread = 5000;         // an answer must have been taken in by then
 constexpr Millis kLinger = 1000;         // a client that was told of the close gets this to close first
 constexpr Millis kAcceptAgain = 50;      // after an accept that failed, out of descriptors perhaps
 constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
+constexpr std::size_t kMostBuffer = 2 * kMostHeader;  // unparsed bytes: a header, or the head of a chunk
 constexpr std::size_t kMostId = 256;
 
 std::string Field(const HttpRequest& http, const char* name) {
@@ -91,9 +93,14 @@
   void Sweep(Millis now) {
     const Millis age = now - since_;
     if (phase_ == Phase::kReading) {
+      // A first request is as old as its connection: both together must end within 3 s. A later one may
+      // begin after a long rest, and counts from when it was first seen.
       const bool begun = buffer_.size() > 0 || parser_->got_some();
-      if (begun && age > kPartial) return Refuse({http::status::request_timeout, "the request is not whole"});
-      if (age > kIdle && Idle()) Close();
+      if (!begun && turn_ > 0) begun_at_ = now;
+      if (begun && now - begun_at_ > kPartial) {
+        return Refuse({http::status::request_timeout, "the request is not whole"});
+      }
+      if (age > (turn_ == 0 ? kFirst : kIdle) && Idle()) Close();
     } else if ((phase_ == Phase::kWriting && age > kUnread) ||
                (phase_ == Phase::kLingering && age > kLinger)) {
       Close();
@@ -105,7 +112,7 @@
 
   void Enter(Phase phase) {
     phase_ = phase;
-    since_ = Now();
+    since_ = begun_at_ = Now();
   }
 
   void Read() {
@@ -200,6 +207,7 @@
   }
 
   void Written(error_code ec) {
+    response_ = {};  // a connection at rest holds no memory for bodies
     if (ec) return Close();
     if (!keep_alive_) return Linger();
     Enter(Phase::kReading);
@@ -233,7 +241,7 @@
 
   ClientServer& server_;
   tcp::socket socket_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMostBuffer};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<std::pair<error_code, Millis>> next_;  // how the read ended that ran while another was served
   HttpResponse response_;
@@ -241,6 +249,7 @@
   std::uint64_t turn_ = 0;
   Phase phase_ = Phase::kReading;
   Millis since_ = Now();
+  Millis begun_at_ = since_;  // not after the first byte of the request that is being read
   unsigned version_ = 11;
   bool keep_alive_ = true;
 };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -458,8 +458,17 @@
   EXPECT_NE(asked(7).find("after=44&"), std::string::npos);
 }
 
-// Guards the memory: a chunk's head may be of any length, and must not be kept whole. The attempt has failed
-// and may have run.
+// Guards the memory: the extension of a chunk's head may be of any length, and must not be kept whole.
+TEST(Gateway, EndsARequestWhoseChunkHeadNeverEnds) {
+  World world;
+  const auto client = world.Connect();
+  client->Send("POST /api HTTP/1.1\r\nReq-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+               std::string(100000, 'x'));
+  EXPECT_EQ(client->Await().result(), http::status::bad_request);
+  EXPECT_TRUE(client->AwaitEnd());
+}
+
+// Guards the same on the other side: the attempt has failed and may have run.
 TEST(Gateway, EndsAnAnswerWhoseChunkHeadNeverEnds) {
   World world;
   const auto client = world.Connect();
@@ -483,6 +492,20 @@
   }
 }
 
+// Guards the places against peers that connect and send nothing, or never the whole of a first request: far
+// sooner than a client's connection between two requests they are closed or told.
+TEST(Gateway, EndsConnectionsThatBringNoRequest) {
+  World world;
+  world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  const auto kept = world.Connect(), silent = world.Connect(), partial = world.Connect();
+  kept->Send(ApiCall("r1"));
+  EXPECT_EQ(kept->Await().result(), http::status::ok);
+  partial->Send("GET /api HTTP/1.1\r\nReq-Id:");
+  EXPECT_TRUE(silent->AwaitEnd());
+  EXPECT_EQ(partial->Await().result(), http::status::request_timeout);
+  EXPECT_FALSE(kept->ended());
+}
+
 // Guards a flood of clients: those between requests make room, and a new one is served.
 TEST(Gateway, ServesThroughAFloodOfConnections) {
   World world(1, TestSettings(), 200);  // 90 of them for clients
