Keep what is written to a host until its write has ended

The commit on a host's answer let go of the request as soon as its attempt ended, so that a connection at rest holds no body. An attempt that is cancelled while its write is under way ends before the write does: the write then read freed memory. Now the connection lets go of it when it comes to rest, after its answer.

The test cancels an attempt between the write and its completion; under the sanitizer it reports heap-use-after-free without the change.

--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -109,7 +109,6 @@
   void Finish(Result result, HttpResponse response) {
     if (!job_) return;
     const Job job = *std::exchange(job_, std::nullopt);
-    outgoing_ = {};
     pool_.active_.erase(job.attempt);
     job.done(result, std::move(response));
   }
@@ -222,6 +221,7 @@
 
   void Rest() {
     rests_at_ = Now();
+    outgoing_ = {};  // here its write has ended, unlike where an attempt is given up
     Read();
     Arm(Now() + pool_.limits_.idle_timeout * kIdleShare);
     pool_.hosts_[host_].idle.push_back(shared_from_this());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -431,6 +431,32 @@
   EXPECT_EQ(pool.connections(), 1u);
 }
 
+// Guards an attempt that is given up before its write was told of: what is written must stay until then.
+TEST(HostPool, CancelsAnAttemptThatIsBeingWritten) {
+  asio::io_context io;
+  Peer host(io);
+  host.serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  gateway::HostPool pool(io, {5000, 60000, 2});
+  gateway::HostList list;
+  list.hosts = {{MakeHost("h1"), host.address()}};
+  pool.Update(list);
+  std::vector<Result> results;
+  HttpRequest get(http::verb::get, "/api", 11);
+  get.set("Req-Id", "r1");
+  const auto request = std::make_shared<const HttpRequest>(std::move(get));
+  const auto start = [&] {
+    return pool.Start("h1", request, gateway::Now() + 60000,
+                      [&](Result r, HttpResponse) { results.push_back(r); });
+  };
+  start();
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 1; }));
+  pool.Cancel(start());  // on the connection that is open: the write has begun
+  EXPECT_EQ(results.back(), Result::kCancelled);
+  start();
+  EXPECT_TRUE(RunUntil(io, [&] { return results.size() == 3; }));
+  EXPECT_EQ(results.back(), Result::kServed);
+}
+
 // Guards the watch: it starts from the known list, goes on from each answer, and a call that fails in any way
 // is made again from the last good revision.
 TEST(Gateway, KeepsWatchingThroughFailures) {
