--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -374,16 +374,18 @@
 
   // Failures that one server explains eject it; only those of servers held ready move the rate. A broken
   // connection tells nothing of load: one that can't take more rejects, is late, or fails to connect.
-  void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome) {
+  void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome, Millis sent) {
     if (b.suspect || outcome.result == Result::kReset) return;
     const bool served = outcome.result == Result::kServed;
     const bool timely = served && now_ <= flow.aim_at;
+    if (!timely && sent < cut_at_) return;  // sent at the old rate: it has been cut for that
     failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
     if (timely) {
       rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
     } else if (!timely && failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) &&
                now_ >= cut_after_) {
       rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, spent_rate_) * kCut);
+      cut_at_ = now_;
       cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
       Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
     }
@@ -531,7 +533,7 @@
     counts_.slow += o.result == Result::kServed && now_ > flow.aim_at;
     if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
     if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
-      MoveRate(b, flow, o);  // first: by whether the server was held ready until now
+      MoveRate(b, flow, o, attempt.sent);  // first: by whether the server was held ready until now
       Hear(b, o.load);
       Judge(b, flow, o);
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -151,7 +151,7 @@
   std::size_t busy_at_ = 0;  // place of the utilisation in a load report; past its end if not reported
   Millis now_ = 0;
   Millis ask_at_ = kNever, ask_gap_ = 0;
-  Millis cut_after_ = kNever, quiet_until_ = kNever;
+  Millis cut_after_ = kNever, cut_at_ = kNever, quiet_until_ = kNever;
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
   double arriving_ = 0;                     // requests per ms, smoothed
   double warm_served_ = 0, warm_time_ = 0;  // answers of warm servers, and their time, both fading
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -384,6 +384,33 @@
   EXPECT_TRUE(cut);
 }
 
+// For a tenth of a second half of all requests get no answer, on all servers alike. They time out one by one
+// after 200 to 800 ms, and belong to the rate that the first of them cut.
+TEST(Rate, AttemptsOfBeforeACutDoNotCutItAgain) {
+  Gateway g;
+  g.Servers(8);
+  g.Serve(200, 20);
+  int cuts = 0, asked = 0;
+  std::map<Millis, std::vector<std::tuple<std::string, std::string, Millis>>> out;  // by the time they end
+  for (int step = 0; step < 120; ++step) {
+    for (int i = 0; i < 4 && step < 20; ++i) {
+      const std::string id = "r" + std::to_string(asked++);
+      const std::string to = Gateway::SentTo(g.Ask(id, "pay"));
+      const bool silent = step >= 10 && step < 20 && asked % 2 == 0;
+      const Millis takes = silent ? 200 + asked * 37 % 600 : 20;
+      if (!to.empty()) out[g.now + takes].emplace_back(id, to, takes);
+    }
+    cuts += Gateway::Logged(g.Pass(10), "rate cut");
+    for (; !out.empty() && out.begin()->first <= g.now; out.erase(out.begin())) {
+      for (const auto& [id, to, takes] : out.begin()->second) {
+        const Result result = takes > 20 ? Result::kTimedOut : Result::kServed;
+        cuts += Gateway::Logged(g.End(id, to, result, takes), "rate cut");
+      }
+    }
+  }
+  EXPECT_EQ(cuts, 1);
+}
+
 // Sixteen requests each 20 ms to four servers; of the answers of s0, and of those of the others, so many
 // in a hundred break on the way. Returns the lines logged, and how many s0 was sent in the last second.
 std::pair<std::vector<std::string>, int> WithBrokenConnections(unsigned of_s0, unsigned of_others) {
