Pass over 1xx heads: the answer of a host comes behind them

HTTP/1.1 lets a server send any number of informational answers before the real one. The pool took the first for the whole answer: a failed attempt, a 502 for a class that must not run twice, and the real answer was thrown away with its connection. A 101 is still a failure: nobody asked for it.

--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -208,6 +208,10 @@
     }
     if (ec) return Broken(ec);
     HttpResponse response = parser_->release();
+    // "100 Continue" and its like only announce the answer. A switch of protocols was never asked for.
+    if (response.result_int() / 100 == 1 && response.result() != http::status::switching_protocols) {
+      return Read();
+    }
     const bool reusable = response.keep_alive() && buffer_.size() == 0 && pool_.MayUse(host_, address_);
     // Back to the pool before the outcome is told, for it may lead to the next send.
     if (reusable) {
@@ -216,6 +220,10 @@
       Close();
     }
     const Result result = ToResult(response);
+    if (result == Result::kError && Now() >= pool_.quiet_until_) {
+      pool_.quiet_until_ = Now() + kQuiet;
+      std::fprintf(stderr, "answer %u by %s\n", response.result_int(), host_.c_str());
+    }
     Finish(result, std::move(response));
   }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -505,6 +505,22 @@
   EXPECT_EQ(client->Await().result(), http::status::bad_gateway);
 }
 
+// Guards the answer that follows an announcement: a host may send any number of 1xx heads before it.
+TEST(Gateway, WaitsForTheAnswerBehindAnAnnouncement) {
+  World world;
+  const auto client = world.Connect();
+  for (std::size_t i = 0; i < 2; ++i) {
+    client->Send(ApiCall("r" + std::to_string(i), "pay"));
+    ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == i + 1; }));
+    world.host().requests[i].on->Raw(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    world.host().requests[i].Answer(200, "done");
+    EXPECT_EQ(client->Await(i + 1).result(), http::status::ok);
+    EXPECT_EQ(client->Await(i + 1).body(), "done");
+  }
+  EXPECT_EQ(world.host().connections.size(), 1u);  // which stays in step
+}
+
 // Guards the memory against an answer of a stated length that no body may have: it is given up at its head.
 TEST(Gateway, EndsAnAnswerThatStatesTooLargeABody) {
   for (const std::string length : {"65537", "3000000000"}) {
