--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -9,6 +9,7 @@
 #ifndef OPALSWITCH_POLICY_HPP_
 #define OPALSWITCH_POLICY_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -180,6 +181,9 @@
   // to `actions` (which is not cleared). Give it the server list first: nothing is sent before.
   void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
+  // Listed servers that are up and get no more than trials now, for what they failed.
+  std::size_t avoided() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "clock.hpp"
+#include "listen.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -27,6 +28,9 @@
 constexpr Millis kPartial = 2000;        // a request that was begun must be whole by then
 constexpr Millis kUnread = 5000;         // an answer must have been taken in by then
 constexpr Millis kLinger = 1000;         // a client that was told of the close gets this to close first
+constexpr Millis kShedAfter = 500;       // into a drain: the front has stopped by then
+constexpr Millis kShedRest = 300;        // a connection that is no older may have a request on its way
+constexpr Millis kShedPartial = 1700;    // into a drain: what was begun and is not whole by then is refused
 constexpr Millis kAcceptAgain = 50;      // after an accept that failed, out of descriptors perhaps
 constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
 constexpr std::size_t kMostBuffer = 2 * kMostHeader;  // unparsed bytes: a header, or the head of a chunk
@@ -83,7 +87,9 @@
   Millis since() const { return since_; }
 
   void Close() {
-    if (std::exchange(phase_, Phase::kClosed) == Phase::kClosed) return;
+    const Phase was = std::exchange(phase_, Phase::kClosed);
+    if (was == Phase::kClosed) return;
+    End(/*told=*/was == Phase::kWriting, /*whole=*/false);
     error_code ignored;
     socket_.close(ignored);
     server_.Closed(shared_from_this());
@@ -100,6 +106,13 @@
       if (begun && now - begun_at_ > kPartial) {
         return Refuse({http::status::request_timeout, "the request is not whole"});
       }
+      if (server_.drains_since_) {
+        const Millis drained = now - *server_.drains_since_;
+        if (begun && drained > kShedPartial) {
+          return Refuse({http::status::service_unavailable, "this gateway drains"});
+        }
+        if (drained > kShedAfter && age > kShedRest && Idle()) return Close();
+      }
       if (age > (turn_ == 0 ? kFirst : kIdle) && Idle()) Close();
     } else if ((phase_ == Phase::kWriting && age > kUnread) ||
                (phase_ == Phase::kLingering && age > kLinger)) {
@@ -172,11 +185,21 @@
       if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) self->Answer(std::move(response));
     };
     id_ = request.id;
+    class_name_ = request.class_name;
+    open_request_ = true;
+    ++server_.active_;
     Enter(Phase::kWaiting);
     Read();
     server_.handlers_.taken(std::move(request));
   }
 
+  // The request that was taken has its answer, or never will.
+  void End(bool told, bool whole) {
+    if (!std::exchange(open_request_, false)) return;
+    --server_.active_;
+    if (told) server_.handlers_.ended(class_name_, response_.result_int(), whole);
+  }
+
   // What can't be read on leaves the connection without a place to go on from.
   void Refuse(const Fault& fault) {
     keep_alive_ = false;
@@ -198,7 +221,7 @@
     // In a drain, or with clients waiting for a place, the connection ends here: but not on a request that
     // has been taken in already.
     const bool more = next_ && !next_->first;
-    keep_alive_ = keep_alive_ && (more || !(server_.draining_ || server_.Full()));
+    keep_alive_ = keep_alive_ && (more || !(server_.drains_since_ || server_.Full()));
     response_.keep_alive(keep_alive_);
     response_.prepare_payload();
     http::async_write(socket_, response_, [self = shared_from_this()](error_code ec, std::size_t) {
@@ -207,6 +230,7 @@
   }
 
   void Written(error_code ec) {
+    End(/*told=*/true, /*whole=*/!ec);
     response_ = {};  // a connection at rest holds no memory for bodies
     if (ec) return Close();
     if (!keep_alive_) return Linger();
@@ -245,7 +269,8 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<std::pair<error_code, Millis>> next_;  // how the read ended that ran while another was served
   HttpResponse response_;
-  std::string id_;
+  std::string id_, class_name_;
+  bool open_request_ = false;  // one was taken, and its answer is not written
   std::uint64_t turn_ = 0;
   Phase phase_ = Phase::kReading;
   Millis since_ = Now();
@@ -263,11 +288,7 @@
       sweep_(io),
       accept_again_(io) {
   for (const ClassSettings& c : settings.classes) classes_[c.name] = c.effect;
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.non_blocking(true);
-  acceptor_.bind(address);
-  acceptor_.listen();
+  Listen(acceptor_, address, "NODE_LISTEN");
   Accept();
   Sweep();
 }
@@ -325,8 +346,16 @@
   });
 }
 
+void ClientServer::Drain(bool on) {
+  if (!on) {
+    drains_since_.reset();
+  } else if (!drains_since_) {
+    drains_since_ = Now();
+  }
+}
+
 void ClientServer::StopListening(std::function<void()> done) {
-  Drain();
+  Drain(true);
   stopped_ = std::move(done);
   // Whoever stands in the queue has connected, and may have sent a request: to close on it would lose that.
   for (error_code ec; !Full();) {
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -32,9 +33,11 @@
     std::function<bool()> ready;
     std::function<void(ClientRequest)> taken;
     std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
+    // The answer to a request that was taken is written, or has broken off on the way.
+    std::function<void(const std::string& class_name, unsigned status, bool whole)> ended;
   };
 
-  // Listens at once. Throws boost::system::system_error if it can't.
+  // Listens at once. Throws ConfigError if it can't.
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                std::size_t most_sessions, const Settings& settings, Handlers handlers);
   ~ClientServer();
@@ -42,9 +45,12 @@
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   std::size_t sessions() const { return sessions_.size(); }
+  // Requests taken whose answer is not written yet.
+  std::size_t active() const { return active_; }
 
-  // From now on each answer closes its connection.
-  void Drain() { draining_ = true; }
+  // While it drains each answer closes its connection, and those between requests are closed a little later:
+  // when the front sends no new ones any more.
+  void Drain(bool on);
   // Takes what has connected so far, then closes the listener and the connections between requests.
   // `done` follows when the last connection is closed.
   void StopListening(std::function<void()> done);
@@ -70,7 +76,8 @@
   boost::asio::steady_timer sweep_;
   boost::asio::steady_timer accept_again_;
   bool accepting_ = false;
-  bool draining_ = false;
+  std::optional<Millis> drains_since_;
+  std::size_t active_ = 0;
   std::function<void()> stopped_;
 };
 
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -87,6 +87,10 @@
   Config config;
   config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
   config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
+  const char* const management = variable("NODE_MGMT");
+  if (management != nullptr || (file.contains("mgmt") && !file["mgmt"].is_null())) {
+    config.management = ReadAddress(management, "NODE_MGMT", file, "mgmt");
+  }
   if (file.contains("seed")) {
     const std::string text = Scalar(file["seed"]);
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), config.seed, 16);
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -24,6 +25,7 @@
 struct Config {
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators; none: no such listener
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // file descriptors that the process may hold
   Settings settings;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,7 @@
 constexpr Millis kFlush = 200;       // for the last answers to leave
 constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
+constexpr std::size_t kMostCallers = 16;   // operators' connections
 constexpr std::size_t kSpareSockets = 64;  // listener, discovery, standard streams, the loop's own, and room
 
 // Descriptors that may be used, by the configuration and by the system.
@@ -89,12 +90,12 @@
                   std::max<std::size_t>(1, Usable(config.sockets) / 3)}),
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
+      figures_(config.settings),
       stop_(io),
       ask_again_(io),
       counting_(io),
       clients_(io, config.listen, std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3), config.settings,
-               {[this] { return listed_ && !stopping_; },
-                [this](ClientRequest request) { Take(std::move(request)); },
+               {[this] { return Ready(); }, [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id) {
                   ++gone_;
                   if (Flow* const flow = Find(id)) {
@@ -102,7 +103,15 @@
                     flow->overdue.cancel();
                   }
                   Report(ClientGone{id});
+                },
+                [this](const std::string& class_name, unsigned status, bool whole) {
+                  figures_.Answered(class_name, status, whole);
                 }}) {
+  if (config.management) {
+    const std::size_t callers = std::max<std::size_t>(2, std::min(kMostCallers, config.sockets / 16));
+    management_.emplace(io, *config.management, callers,
+                        [this](const std::string& call) { return Manage(call); });
+  }
   Told(config.known);
   if (!settings_.ask_for_list) discovery_.Watch();
   for (const ClassSettings& c : settings_.classes) {
@@ -133,6 +142,14 @@
 void Gateway::Told(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
   listed_ = listed_ || !list.hosts.empty();
+  if (list.complete) host_ids_.clear();
+  for (const Host& host : list.hosts) {
+    if (host.server.state == ServerState::kGone) {
+      host_ids_.erase(host.server.id);
+    } else {
+      host_ids_.insert(host.server.id);
+    }
+  }
   Report(ToNews(list));
 }
 
@@ -180,6 +197,32 @@
   Report(ClientGone{id});
 }
 
+std::optional<asio::ip::tcp::endpoint> Gateway::management() const {
+  if (!management_) return std::nullopt;
+  return management_->address();
+}
+
+// What the operators ask for, and what they are told.
+std::string Gateway::Manage(const std::string& call) {
+  if (call == "vars") {
+    return figures_.ToJson(clients_.active(), host_ids_.size(), policy_.avoided()) + "\nEOT\n";
+  }
+  if (call == "check") {
+    if (Ready()) return "SUCCESS takes clients\n";
+    return stopping_   ? "FAILURE stopping\n"
+           : draining_ ? "FAILURE draining\n"
+                       : "FAILURE no host is known yet\n";
+  }
+  if (call == "drain-on" || call == "drain-off") {
+    if (stopping_) return call == "drain-on" ? "SUCCESS stopping anyway\n" : "FAILURE stopping\n";
+    draining_ = call == "drain-on";
+    clients_.Drain(draining_);
+    std::fprintf(stderr, "%s by the operators' call\n", call.c_str());
+    return draining_ ? "SUCCESS draining\n" : "SUCCESS takes clients\n";
+  }
+  return "FAILURE unknown call\n";
+}
+
 void Gateway::CountLater() {
   counting_.expires_after(Span(kCountEvery));
   counting_.async_wait([this](error_code ec) {
@@ -239,9 +282,11 @@
   flow->attempts.push_back({send.server, now});
   const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
   const std::uint64_t number = hosts_.Start(
-      send.server, flow->http, until, [this, id = send.request, index](Result result, HttpResponse response) {
+      send.server, flow->http, until,
+      [this, id = send.request, index](Result result, HttpResponse response) {
         Ended(id, index, result, std::move(response));
-      });
+      },
+      [this] { figures_.Tried(); });
   flow->attempts[index].number = number;
 }
 
@@ -300,7 +345,7 @@
 
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
-  clients_.Drain();
+  clients_.Drain(true);
   stop_.expires_after(Span(kAcceptFor));
   stop_.async_wait([this, done = std::move(done)](error_code) {
     clients_.StopListening(done);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,8 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -16,7 +18,9 @@
 #include "client_server.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
+#include "figures.hpp"
 #include "host_pool.hpp"
+#include "management.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -27,6 +31,8 @@
   Gateway(boost::asio::io_context& io, const Config& config);
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
+  // Where operators call, if they do.
+  std::optional<boost::asio::ip::tcp::endpoint> management() const;
 
   // From now on the list of hosts comes from there.
   void MoveDiscovery(const boost::asio::ip::tcp::endpoint& address);
@@ -57,6 +63,8 @@
   void ListFailed();
   void Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response);
   void Overdue(const std::string& id);
+  std::string Manage(const std::string& call);
+  bool Ready() const { return listed_ && !stopping_ && !draining_; }
   void CountLater();
   void LogCounts();
 
@@ -85,12 +93,16 @@
   bool reporting_ = false;
   bool listed_ = false;  // some list of hosts is known
   bool stopping_ = false;
+  bool draining_ = false;           // by the operators' word
+  std::set<std::string> host_ids_;  // listed, draining ones too
+  Figures figures_;
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
   boost::asio::steady_timer counting_;
   HostPool::Counts counted_;  // as last logged
   int gone_ = 0;              // clients that left unanswered, since then
   ClientServer clients_;
+  std::optional<ManagementServer> management_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -45,6 +45,7 @@
     std::shared_ptr<const HttpRequest> request;
     Millis deadline;
     Done done;
+    HostPool::Written written;
   };
 
   Connection(HostPool& pool, std::string host, tcp::endpoint address)
@@ -157,6 +158,7 @@
   void Written(error_code ec) {
     if (ec) return End(Result::kConnectFailed);  // its last byte never left: it can't have run
     written_ = true;
+    if (job_->written) job_->written();
     if (broken_) Broken(asio::error::connection_reset);
   }
 
@@ -271,7 +273,7 @@
 }
 
 std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
-                              Millis deadline, Done done) {
+                              Millis deadline, Done done, Written written) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
   if (found == hosts_.end() || Now() >= deadline) {
@@ -279,7 +281,7 @@
     done(Result::kNotSent, {});
     return attempt;
   }
-  Connection::Job job{attempt, std::move(request), deadline, std::move(done)};
+  Connection::Job job{attempt, std::move(request), deadline, std::move(done), std::move(written)};
   auto& idle = found->second.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -29,6 +29,8 @@
   // How an attempt ended; the answer is that of the host, if there was one. Called once for each Start,
   // perhaps before Start returns.
   using Done = std::function<void(Result, HttpResponse)>;
+  // Called when an attempt's last byte is written.
+  using Written = std::function<void()>;
 
   HostPool(boost::asio::io_context& io, Limits limits);
 
@@ -38,7 +40,7 @@
 
   // Sends the request unless the host is not to be used any more. Returns a number for Cancel.
   std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request, Millis deadline,
-                      Done done);
+                      Done done, Written written = {});
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -94,6 +94,12 @@
     Release();
   }
 
+  std::size_t Avoided() const {
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& entry) {
+      return entry.second.up && entry.second.suspect;
+    }));
+  }
+
  private:
   // ---- Membership ------------------------------------------------------------------------------
 
@@ -647,4 +653,6 @@
   impl_->Handle(now, event, actions);
 }
 
+std::size_t Policy::avoided() const { return impl_->Avoided(); }
+
 }  // namespace opalswitch
--- /dev/null
+++ b/tests/operations_test.cpp
@@ -0,0 +1,170 @@
+// What operators use: the management address, the figures and the drain. Each test says what it guards.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+// Guards what operators are told: the answer's first word, for good calls and for any others.
+TEST(Management, AnswersEachCallByOneLine) {
+  World world;
+  EXPECT_TRUE(world.Call("check\n").starts_with("SUCCESS"));
+  EXPECT_TRUE(world.Call("check\r\nvars\n").starts_with("SUCCESS"));  // what follows the line is not heard
+  for (const std::string& call :
+       {std::string("\n"), std::string("Check\n"), std::string("check \n"), std::string("drain\n"),
+        std::string("\0\xff\x16\n", 4), std::string(100000, 'x'), std::string(255, 'x') + "\n"}) {
+    EXPECT_TRUE(world.Call(call).starts_with("FAILURE")) << call.substr(0, 20);
+  }
+}
+
+// Guards a gateway that knows no host: it takes no clients yet, and says so until a list has come.
+TEST(Management, SaysYesOnlyOnceClientsAreTaken) {
+  World world(0);
+  EXPECT_TRUE(world.Call("check\n").starts_with("FAILURE"));
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+  Peer host(world.io);
+  world.discovery.requests[0].Answer(200, List(42, true, {Member("h0", host.address())}).dump());
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 2; }));
+  EXPECT_TRUE(world.Call("check\n").starts_with("SUCCESS"));
+}
+
+// Guards a call that is not whole: its caller is told when it ends its side, and keeps nobody waiting.
+TEST(Management, HearsOthersBesideCallersThatHold) {
+  World world;
+  std::vector<tcp::socket> slow;
+  for (int i = 0; i < 100; ++i) {  // far more than there are places
+    slow.emplace_back(world.io).connect(*world.gateway->management());
+    asio::write(slow.back(), asio::buffer("chec", i % 5));
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  EXPECT_TRUE(world.Call("check\n").starts_with("SUCCESS"));
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(9));  // none was waited for
+  tcp::socket half(world.io);
+  half.connect(*world.gateway->management());
+  asio::write(half, asio::buffer("check", 5));
+  half.shutdown(tcp::socket::shutdown_send);
+  std::string answer;
+  bool ended = false;
+  asio::async_read(half, asio::dynamic_buffer(answer), [&](error_code, std::size_t) { ended = true; });
+  ASSERT_TRUE(world.Until([&] { return ended; }));
+  EXPECT_TRUE(answer.starts_with("FAILURE"));
+}
+
+// Guards the figures: each counter against one request or attempt of its kind, for each class from the start.
+TEST(Figures, CountWhatHappened) {
+  World world(2);
+  const nlohmann::json none = {{"ok", 0}, {"shed", 0}, {"errors", 0}};
+  EXPECT_EQ(world.Vars(), nlohmann::json({{"responses", {{"view", none}, {"key", none}, {"pay", none}}},
+                                          {"tries", 0},
+                                          {"active", 0},
+                                          {"pool_size", 2},
+                                          {"pool_ejected", 0}}));
+  int first = 0;
+  for (auto& host : world.hosts) {
+    host->serve = [&](const Peer::Taken& taken) {
+      const std::string id(taken.http["Req-Id"]);
+      if (id == "again" && first++ == 0) return taken.on->Reset();  // tried twice
+      if (id == "fails") return taken.Answer(500, "");
+      if (id != "waits" && id != "leaves") taken.Answer(200, "");
+    };
+  }
+  const auto client = world.Connect();
+  client->Send(ApiCall("good"));
+  client->Await(1);
+  client->Send(ApiCall("again"));
+  EXPECT_EQ(client->Await(2).result_int(), 200u);
+  client->Send(ApiCall("fails", "pay"));
+  EXPECT_EQ(client->Await(3).result_int(), 502u);
+  client->Send(ApiCall("late", "pay", "15m"));
+  EXPECT_EQ(client->Await(4).result_int(), 503u);
+  client->Send(ApiCall("no such class", "steal"));  // not a request of any class: not counted
+  EXPECT_EQ(client->Await(5).result_int(), 400u);
+  const auto waits = world.Connect(), leaves = world.Connect();
+  waits->Send(ApiCall("waits"));
+  leaves->Send(ApiCall("leaves"));
+  const auto taken = [&] { return world.hosts[0]->requests.size() + world.hosts[1]->requests.size(); };
+  ASSERT_TRUE(world.Until([&] { return taken() == 6; }));
+  EXPECT_EQ(world.Vars()["active"], 2);
+  leaves->Leave();
+  ASSERT_TRUE(world.Until([&] { return world.Vars()["active"] == 1; }));
+  const nlohmann::json vars = world.Vars();
+  EXPECT_EQ(vars["responses"]["view"], nlohmann::json({{"ok", 2}, {"shed", 0}, {"errors", 0}}));
+  EXPECT_EQ(vars["responses"]["pay"], nlohmann::json({{"ok", 0}, {"shed", 1}, {"errors", 1}}));
+  EXPECT_EQ(vars["responses"]["key"], none);
+  EXPECT_EQ(vars["tries"], 6);
+}
+
+// Guards the figures on hosts: what is listed, drained or not, and what the module avoids.
+TEST(Figures, TellListedAndAvoidedHosts) {
+  World world(2);
+  for (auto& host : world.hosts) host->serve = [](const Peer::Taken& taken) { taken.Answer(500, ""); };
+  const auto client = world.Connect();
+  std::size_t sent = 0;
+  while (sent < 100 && world.Vars()["pool_ejected"] != 2) {
+    client->Send(ApiCall("r" + std::to_string(++sent), "pay"));
+    client->Await(sent);
+  }
+  EXPECT_EQ(world.Vars()["pool_ejected"], 2);
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+  world.discovery.requests[0].Answer(200, List(42, false,
+                                               {Member("h0", world.host(0).address(), "draining"),
+                                                Member("h1", world.host(1).address(), "removed")})
+                                              .dump());
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 2; }));
+  EXPECT_EQ(world.Vars()["pool_size"], 1);
+  EXPECT_EQ(world.Vars()["pool_ejected"], 0);
+}
+
+// Guards a drain: no at once, what is open is served to its end and closed, idle connections go, the process
+// stays and takes clients again when told. Both calls may be repeated.
+TEST(Drain, ShedsConnectionsAndTakesThemAgain) {
+  World world;
+  const auto up = [&] {
+    const auto client = world.Connect();
+    client->Send("GET /up HTTP/1.1\r\n\r\n");
+    return client->Await().result_int();
+  };
+  const auto idle = world.Connect(), busy = world.Connect();
+  idle->Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(idle->Await().keep_alive());
+  busy->Send(ApiCall("r1", "pay"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  for (int i = 0; i < 2; ++i) EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+  EXPECT_EQ(up(), 503u);
+  EXPECT_TRUE(world.Call("check\n").starts_with("FAILURE"));
+  const auto partial = world.Connect(), late = world.Connect();
+  late->Send(ApiCall("r2"));  // from before the front knew
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 2; }));
+  EXPECT_TRUE(idle->AwaitEnd());
+  for (const auto& request : world.host().requests) request.Answer(200, "");
+  for (Client* client : {busy.get(), late.get()}) {
+    EXPECT_EQ(client->Await().result(), http::status::ok);
+    EXPECT_FALSE(client->Await().keep_alive());
+    EXPECT_TRUE(client->AwaitEnd());
+  }
+  partial->Send("GET /api HTTP/1.1\r\n");
+  EXPECT_TRUE(partial->AwaitEnd());  // refused or closed: it is not held
+  for (int i = 0; i < 2; ++i) EXPECT_TRUE(world.Call("drain-off\n").starts_with("SUCCESS"));
+  EXPECT_EQ(up(), 200u);
+  const auto kept = world.Connect();
+  kept->Send(ApiCall("r3"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 3; }));
+  world.host().requests[2].Answer(200, "");
+  EXPECT_TRUE(kept->Await().keep_alive());
+}
+
+// Guards SIGTERM during a drain: it ends as it would without one, and no call keeps it from that.
+TEST(Drain, EndsOnStopAllTheSame) {
+  World world;
+  world.Call("drain-on\n");
+  bool done = false;
+  world.gateway->Stop([&] { done = true; });
+  EXPECT_TRUE(world.Call("drain-off\n").starts_with("FAILURE"));
+  EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+  EXPECT_TRUE(world.Call("check\n").starts_with("FAILURE"));
+  EXPECT_TRUE(world.Until([&] { return done; }));
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -170,5 +170,27 @@
   EXPECT_FALSE(process.Ended());
 }
 
+// Guards the operators' address: where the configuration names none nothing listens, and one that can't be
+// had is named in one line.
+TEST(Program, NamesAnAddressThatItCannotHave) {
+  asio::io_context io;
+  tcp::acceptor taken(io, Loopback());
+  const nlohmann::json config = {{"seed", "1f"}, {"settings", TestSettings()}};
+  const File file(config.dump());
+  for (const bool management : {true, false}) {
+    const std::string busy = ToText(taken.local_endpoint()), free = "127.0.0.1:0";
+    std::vector<std::pair<std::string, std::string>> variables = {{"NODE_CONFIG", file.path},
+                                                                  {"NODE_LISTEN", management ? free : busy},
+                                                                  {"NODE_DISCOVERY", "127.0.0.1:1"}};
+    if (management) variables.push_back({"NODE_MGMT", busy});
+    Process process(variables);
+    EXPECT_EQ(process.Wait(), 1);
+    const std::string errors = process.Errors();
+    EXPECT_NE(errors.find(management ? "NODE_MGMT: " + busy : "NODE_LISTEN: " + busy), std::string::npos)
+        << errors;
+    EXPECT_EQ(std::count(errors.begin(), errors.end(), '\n'), 1) << errors;
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
