Replace the process by handing over listener, connections and what was learned

To give connections away with nothing lost, a client's connection between requests is waited on and no longer read (client_server.cpp, Read and Watch): what a reader had taken in but not told was lost with a close, too.

Tests: replacement_test.cpp with real processes (hand-over, either side killed, leftovers in the folder, an old process that hangs) and the module's share (policy_test.cpp).

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -169,6 +169,27 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Watch, Log>;
 
+// What a Policy has learned, for the one of the process that replaces its own. Times of this clock.
+struct Learned {
+  struct Class {
+    std::string name;
+    double latency = 0;
+    int samples = 0;
+    Millis most_left = 0;
+  };
+  struct Server {
+    std::string id;
+    double latency = 0, steady = 0, base = 0, failing = 0, limit = 1;
+    int samples = 0;
+    bool suspect = false, lost = false;
+    Millis cold_since = 0;
+  };
+  double rate = 0, failing = 0, mean_latency = 0, warm_served = 0, warm_time = 0;
+  int samples = 0;
+  std::vector<Class> classes;
+  std::vector<Server> servers;
+};
+
 class Policy {
  public:
   // Throws std::invalid_argument naming the field when the settings cannot work.
@@ -184,6 +205,13 @@
   // Listed servers that are up and get no more than trials now, for what they failed.
   std::size_t avoided() const;
 
+  // For a replacement. While two processes are one gateway each acts on a part of what was learned:
+  // Scale(0.5) leaves half of the rate and of what servers are given, Scale(2) takes it back. Adopt comes
+  // after the first list of servers and before the first request; what it does not name stays as new.
+  Learned Remember() const;
+  void Adopt(Millis now, const Learned& learned);
+  void Scale(double part);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -1,9 +1,12 @@
 #include "client_server.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -66,11 +69,13 @@
   std::string text;
 };
 
-// One connection of a client. A read is always on: for the next request, and to see a client leave that waits
-// for its answer. A request that comes before the last one is answered waits its turn.
+// One connection of a client. Between requests it only waits: nothing that comes is read before it is taken
+// up, so such a connection can be closed or given away knowing what it holds. While a request is under way it
+// waits as well, to see the client leave; a request that comes before the answer stays unread until its turn.
 class ClientServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(ClientServer& server, tcp::socket socket) : server_(server), socket_(std::move(socket)) {}
+  Session(ClientServer& server, tcp::socket socket, bool adopted)
+      : server_(server), socket_(std::move(socket)), turn_(adopted ? 1 : 0) {}
 
   void Begin() {
     error_code ignored;
@@ -81,8 +86,7 @@
   // Between requests, with nothing unread: may be closed without losing anything that was taken.
   bool Idle() {
     error_code ec;
-    return phase_ == Phase::kReading && buffer_.size() == 0 && !parser_->got_some() &&
-           socket_.available(ec) == 0;
+    return Resting() && socket_.available(ec) == 0;
   }
   Millis since() const { return since_; }
 
@@ -95,13 +99,24 @@
     server_.Closed(shared_from_this());
   }
 
+  // Gives the connection to another process, with what it holds unread. False if it has to stay for now.
+  bool GiveAway() {
+    if (!Resting()) return false;
+    phase_ = Phase::kClosed;
+    error_code ec;
+    Descriptor client(socket_.release(ec));
+    if (!ec) server_.give_(std::move(client));
+    server_.Closed(shared_from_this());
+    return true;
+  }
+
   // Ends what has stood still for too long.
   void Sweep(Millis now) {
     const Millis age = now - since_;
     if (phase_ == Phase::kReading) {
       // A first request is as old as its connection: both together must end within 3 s. A later one may
       // begin after a long rest, and counts from when it was first seen.
-      const bool begun = buffer_.size() > 0 || parser_->got_some();
+      const bool begun = !Resting();
       if (!begun && turn_ > 0) begun_at_ = now;
       if (begun && now - begun_at_ > kPartial) {
         return Refuse({http::status::request_timeout, "the request is not whole"});
@@ -128,29 +143,44 @@
     since_ = begun_at_ = Now();
   }
 
+  // Between requests: nothing of the next one has been read.
+  bool Resting() const { return phase_ == Phase::kReading && !reading_; }
+
+  // Begins the next request: at once if some of it came along with the last one, else when it comes.
   void Read() {
+    reading_ = buffer_.size() > 0;
+    if (reading_) return ReadRequest();
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), wait = ++wait_](error_code ec) {
+      if (self->phase_ != Phase::kReading || self->wait_ != wait) return;
+      if (ec) return self->Close();
+      self->reading_ = true;
+      self->ReadRequest();
+    });
+  }
+
+  void ReadRequest() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, std::size_t) { self->Received(ec, Now()); });
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->phase_ == Phase::kLingering) return self->Close();
+      if (self->phase_ != Phase::kReading) return;
+      if (ec && !IsMalformed(ec)) return self->Close();
+      self->Take(ec, Now());
+    });
   }
 
-  void Received(error_code ec, Millis at) {
-    const bool ended = ec && !IsMalformed(ec);
-    switch (phase_) {
-      case Phase::kClosed: return;
-      case Phase::kReading: return ended ? Close() : Take(ec, at);
-      case Phase::kLingering: return Close();
-      case Phase::kWaiting:
-        if (ended) {  // it has left: its request is told off before the connection is forgotten
-          Close();
-          return server_.handlers_.gone(id_);
-        }
-        break;
-      case Phase::kWriting: break;  // a broken connection shows in the write too
-    }
-    next_ = {ec, at};
+  // Sees the client leave while its request is under way. A client that has sent more is not looked at again.
+  void Watch() {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), wait = ++wait_](error_code ec) {
+      if (self->phase_ != Phase::kWaiting || self->wait_ != wait) return;
+      char byte = 0;
+      const auto got = ec ? -1 : ::recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (got > 0) return;
+      if (!ec && got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return self->Watch();
+      self->Close();  // its request is told off before the connection is forgotten
+      self->server_.handlers_.gone(self->id_);
+    });
   }
 
   void Take(error_code ec, Millis at) {
@@ -169,13 +199,11 @@
     if (target == "/up" && http.method() == http::verb::get) {
       const bool ready = server_.handlers_.ready();
       Enter(Phase::kWaiting);
-      Read();
       return Answer(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11));
     }
     ClientRequest request;
     if (const auto fault = server_.Check(http, request)) {
       Enter(Phase::kWaiting);
-      Read();
       return Explain(*fault);
     }
     request.http = std::move(http);
@@ -189,7 +217,7 @@
     open_request_ = true;
     ++server_.active_;
     Enter(Phase::kWaiting);
-    Read();
+    Watch();
     server_.handlers_.taken(std::move(request));
   }
 
@@ -220,12 +248,13 @@
     response_.version(version_);
     // In a drain, or with clients waiting for a place, the connection ends here: but not on a request that
     // has been taken in already.
-    const bool more = next_ && !next_->first;
+    error_code ec;
+    const bool more = buffer_.size() > 0 || socket_.available(ec) > 0;
     keep_alive_ = keep_alive_ && (more || !(server_.drains_since_ || server_.Full()));
     response_.keep_alive(keep_alive_);
     response_.prepare_payload();
-    http::async_write(socket_, response_, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->phase_ == Phase::kWriting) self->Written(ec);
+    http::async_write(socket_, response_, [self = shared_from_this()](error_code written, std::size_t) {
+      if (self->phase_ == Phase::kWriting) self->Written(written);
     });
   }
 
@@ -235,12 +264,10 @@
     if (ec) return Close();
     if (!keep_alive_) return Linger();
     Enter(Phase::kReading);
-    if (!next_) {
-      if (server_.stopped_ && Idle()) Close();
-      return;
-    }
-    const auto [next_ec, at] = *std::exchange(next_, std::nullopt);
-    Received(next_ec, at);
+    reading_ = buffer_.size() > 0;
+    if (server_.give_ && GiveAway()) return;
+    if (server_.stopped_ && Idle()) return Close();
+    Read();
   }
 
   // Closing with bytes unread would reset the connection, and could take the answer from the client.
@@ -248,7 +275,7 @@
     Enter(Phase::kLingering);
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
-    if (ec || (next_ && !IsMalformed(next_->first))) return Close();
+    if (ec) return Close();
     Discard();
   }
 
@@ -267,7 +294,6 @@
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBuffer};
   std::optional<http::request_parser<http::string_body>> parser_;
-  std::optional<std::pair<error_code, Millis>> next_;  // how the read ended that ran while another was served
   HttpResponse response_;
   std::string id_, class_name_;
   bool open_request_ = false;  // one was taken, and its answer is not written
@@ -277,10 +303,13 @@
   Millis begun_at_ = since_;  // not after the first byte of the request that is being read
   unsigned version_ = 11;
   bool keep_alive_ = true;
+  bool reading_ = false;    // some of a request
+  std::uint64_t wait_ = 0;  // the wait for bytes that counts
 };
 
-ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, std::size_t most_sessions,
-                           const Settings& settings, Handlers handlers)
+ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, bool shared,
+                           Descriptor listener, std::size_t most_sessions, const Settings& settings,
+                           Handlers handlers)
     : io_(io),
       acceptor_(io),
       most_sessions_(most_sessions),
@@ -288,7 +317,13 @@
       sweep_(io),
       accept_again_(io) {
   for (const ClassSettings& c : settings.classes) classes_[c.name] = c.effect;
-  Listen(acceptor_, address, "NODE_LISTEN");
+  if (listener) {
+    error_code ec;
+    acceptor_.assign(address.protocol(), listener.get(), ec);
+    if (!ec) listener.Release();
+    if (!ec) acceptor_.non_blocking(true, ec);
+  }
+  if (!acceptor_.is_open()) Listen(acceptor_, address, "NODE_LISTEN", shared);
   Accept();
   Sweep();
 }
@@ -315,8 +350,8 @@
   });
 }
 
-void ClientServer::Accepted(tcp::socket socket) {
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
+void ClientServer::Accepted(tcp::socket socket, bool adopted) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket), adopted);
   sessions_.insert(session);
   session->Begin();
 }
@@ -354,6 +389,33 @@
   }
 }
 
+void ClientServer::SetMost(std::size_t sessions) {
+  most_sessions_ = sessions;
+  if (!Full()) Accept();
+}
+
+int ClientServer::listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
+
+void ClientServer::Adopt(Descriptor client) {
+  tcp::socket socket(io_);
+  error_code ec;
+  socket.assign(acceptor_.is_open() ? acceptor_.local_endpoint().protocol() : tcp::v4(), client.get(), ec);
+  if (ec) return;
+  client.Release();
+  Accepted(std::move(socket), /*adopted=*/true);
+}
+
+void ClientServer::GiveAway(Give give, std::function<void()> done) {
+  give_ = std::move(give);
+  stopped_ = std::move(done);
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_again_.cancel();
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->GiveAway();
+  if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
+}
+
 void ClientServer::StopListening(std::function<void()> done) {
   Drain(true);
   stopped_ = std::move(done);
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "handover.hpp"
 #include "http_types.hpp"
 #include "opalswitch/policy.hpp"
 
@@ -37,9 +38,10 @@
     std::function<void(const std::string& class_name, unsigned status, bool whole)> ended;
   };
 
-  // Listens at once. Throws ConfigError if it can't.
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               std::size_t most_sessions, const Settings& settings, Handlers handlers);
+  // Listens at once: on the listener given, or else at the address, where others may listen too if it is to
+  // be shared. Throws ConfigError if it can't.
+  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, bool shared,
+               Descriptor listener, std::size_t most_sessions, const Settings& settings, Handlers handlers);
   ~ClientServer();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -51,6 +53,18 @@
   // While it drains each answer closes its connection, and those between requests are closed a little later:
   // when the front sends no new ones any more.
   void Drain(bool on);
+  // How many connections there may be from now on; those between requests make room when they are needed.
+  void SetMost(std::size_t sessions);
+
+  // The listener, for another process; -1 if there is none any more.
+  int listener();
+  // A client's connection from another process, between two requests.
+  void Adopt(Descriptor client);
+  // Stops accepting, for another process does from the same queue, and gives it each connection that has
+  // nothing read of a request. What it doesn't take is closed. `done` follows when none is left.
+  using Give = std::function<bool(Descriptor client)>;
+  void GiveAway(Give give, std::function<void()> done);
+
   // Takes what has connected so far, then closes the listener and the connections between requests.
   // `done` follows when the last connection is closed.
   void StopListening(std::function<void()> done);
@@ -58,7 +72,7 @@
  private:
   class Session;
   void Accept();
-  void Accepted(boost::asio::ip::tcp::socket socket);
+  void Accepted(boost::asio::ip::tcp::socket socket, bool adopted = false);
   void Closed(const std::shared_ptr<Session>& session);
   bool Full() const { return sessions_.size() >= most_sessions_; }
   bool EvictIdle();
@@ -69,7 +83,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  const std::size_t most_sessions_;
+  std::size_t most_sessions_;
   std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
@@ -79,6 +93,7 @@
   std::optional<Millis> drains_since_;
   std::size_t active_ = 0;
   std::function<void()> stopped_;
+  Give give_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -90,6 +90,11 @@
   const char* const management = variable("NODE_MGMT");
   if (management != nullptr || (file.contains("mgmt") && !file["mgmt"].is_null())) {
     config.management = ReadAddress(management, "NODE_MGMT", file, "mgmt");
+    // The platform replaces processes where operators look after them.
+    const char* const folder = variable("TMPDIR");
+    if (folder != nullptr && *folder != '\0') {
+      config.handover = std::string(folder) + "/forkwick-" + std::to_string(config.listen.port()) + ".sock";
+    }
   }
   if (file.contains("seed")) {
     const std::string text = Scalar(file["seed"]);
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -26,6 +26,7 @@
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
   std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators; none: no such listener
+  std::string handover;  // the Unix socket on which a replacement asks for what it takes over; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // file descriptors that the process may hold
   Settings settings;
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -78,6 +78,28 @@
   }
 }
 
+std::string ToText(const HostList& list) {
+  json members = json::array();
+  for (const Host& host : list.hosts) {
+    const Server& server = host.server;
+    const char* const phase = server.state == ServerState::kUp         ? "up"
+                              : server.state == ServerState::kDraining ? "draining"
+                                                                       : "removed";
+    json entry = {
+        {"id", server.id},
+        {"host_port", host.address.address().to_string() + ":" + std::to_string(host.address.port())},
+        {"locality", server.zone},
+        {"flavor", server.kind},
+        {"phase", phase},
+        {"size", server.weight},
+        {"up_since_ms", server.started_at}};
+    if (!server.cell.empty()) entry["cell"] = json::parse(server.cell, nullptr, /*allow_exceptions=*/false);
+    members.push_back(std::move(entry));
+  }
+  return json{{"revision", list.revision}, {"complete", list.complete}, {"members", std::move(members)}}
+      .dump();
+}
+
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
 struct Discovery::Call {
   explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -32,6 +32,8 @@
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
 // Nothing if the text is broken in any part: half a list must not pass for a whole one.
 std::optional<HostList> ParseHostList(std::string_view text);
+// The same form.
+std::string ToText(const HostList& list);
 
 class Discovery {
  public:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "clock.hpp"
+#include "listen.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -27,7 +28,8 @@
 constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
-constexpr std::size_t kSpareSockets = 64;  // listener, discovery, standard streams, the loop's own, and room
+constexpr Millis kOverlap = 11000;         // both processes run for so long at most, where no link tells
+constexpr std::size_t kSpareSockets = 40;  // listeners, operators, discovery, the loop's own, and room
 
 // Descriptors that may be used, by the configuration and by the system.
 std::size_t Sockets(std::size_t configured) {
@@ -81,21 +83,31 @@
 
 }  // namespace
 
-// Hosts get a third of the descriptors, clients the rest: both sides together stay under the limit.
 Gateway::Gateway(asio::io_context& io, const Config& config)
+    : Gateway(io, config, config.handover.empty() ? Inheritance{} : Inherit(config.handover, config.listen)) {
+}
+
+// Hosts get a third of the descriptors, clients the rest: both sides together stay under the limit.
+Gateway::Gateway(asio::io_context& io, const Config& config, Inheritance inheritance)
     : io_(io),
       settings_(config.settings),
       policy_(config.settings, config.seed),
-      hosts_(io, {config.dial_timeout, config.idle_timeout,
-                  std::max<std::size_t>(1, Usable(config.sockets) / 3)}),
-      discovery_(io, config.discovery, config.known.revision,
+      most_clients_(std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3)),
+      most_hosts_(std::max<std::size_t>(1, Usable(config.sockets) / 3)),
+      hosts_(io, {config.dial_timeout, config.idle_timeout, most_hosts_}),
+      discovery_(io, config.discovery,
+                 inheritance.estate ? inheritance.estate->list.revision : config.known.revision,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
       figures_(config.settings),
       stop_(io),
       ask_again_(io),
       counting_(io),
-      clients_(io, config.listen, std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3), config.settings,
-               {[this] { return Ready(); }, [this](ClientRequest request) { Take(std::move(request)); },
+      overlap_(io),
+      shared_(!config.handover.empty() && !inheritance.listener && IsTaken(config.listen)),
+      clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
+               config.settings,
+               {[this] { return Ready() || Succeeded(); },
+                [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id) {
                   ++gone_;
                   if (Flow* const flow = Find(id)) {
@@ -112,7 +124,30 @@
     management_.emplace(io, *config.management, callers,
                         [this](const std::string& call) { return Manage(call); });
   }
-  Told(config.known);
+  if (inheritance.link) predecessor_ = std::make_unique<Link>(io, std::move(inheritance.link));
+  const std::optional<Estate>& estate = inheritance.estate;
+  Told(estate ? estate->list : config.known);
+  if (estate) policy_.Adopt(Now(), estate->learned);
+  if (predecessor_ || shared_) {
+    whole_ = false;
+    HalvePlaces();
+    policy_.Scale(0.5);
+  }
+  if (predecessor_) {
+    ShareWith(*predecessor_);
+  } else if (shared_) {
+    overlap_.expires_after(Span(kOverlap));
+    overlap_.async_wait([this](error_code ec) {
+      if (!ec) TakeAll();
+    });
+  }
+  if (!config.handover.empty()) {
+    handover_.emplace(
+        io, config.handover,
+        Handover::Handlers{[this] { return successor_ || stopping_ ? -1 : clients_.listener(); },
+                           [this] { return Leave(); },
+                           [this](std::unique_ptr<Link> link) { ShareWith(std::move(link)); }});
+  }
   if (!settings_.ask_for_list) discovery_.Watch();
   for (const ClassSettings& c : settings_.classes) {
     std::fprintf(stderr, "class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f\n",
@@ -142,15 +177,17 @@
 void Gateway::Told(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
   listed_ = listed_ || !list.hosts.empty();
-  if (list.complete) host_ids_.clear();
+  revision_ = list.revision;
+  if (list.complete) list_.clear();
   for (const Host& host : list.hosts) {
     if (host.server.state == ServerState::kGone) {
-      host_ids_.erase(host.server.id);
+      list_.erase(host.server.id);
     } else {
-      host_ids_.insert(host.server.id);
+      list_[host.server.id] = host;
     }
   }
   Report(ToNews(list));
+  if (Ready() && predecessor_ && !std::exchange(predecessor_told_, true)) predecessor_->Say("ready");
 }
 
 void Gateway::MoveDiscovery(const asio::ip::tcp::endpoint& address) {
@@ -205,7 +242,7 @@
 // What the operators ask for, and what they are told.
 std::string Gateway::Manage(const std::string& call) {
   if (call == "vars") {
-    return figures_.ToJson(clients_.active(), host_ids_.size(), policy_.avoided()) + "\nEOT\n";
+    return figures_.ToJson(clients_.active(), list_.size(), policy_.avoided()) + "\nEOT\n";
   }
   if (call == "check") {
     if (Ready()) return "SUCCESS takes clients\n";
@@ -343,20 +380,96 @@
   }
 }
 
+// What the process leaves that this one replaces: until it is gone both are one gateway.
+void Gateway::ShareWith(Link& predecessor) {
+  std::fprintf(stderr, "replaces a process that serves\n");
+  predecessor.Listen({[this](std::string_view word, Descriptor with) {
+                        if (word == "client" && with) clients_.Adopt(std::move(with));
+                        if (word == "leaving") TakeAll();
+                      },
+                      [this] {
+                        predecessor_.reset();
+                        TakeAll();
+                      }});
+  if (Ready() && !std::exchange(predecessor_told_, true)) predecessor.Say("ready");
+}
+
+void Gateway::HalvePlaces() {
+  clients_.SetMost(std::max<std::size_t>(1, most_clients_ / 2));
+  hosts_.SetMost(std::max<std::size_t>(1, most_hosts_ / 2));
+}
+
+// From here on this process acts alone. The places of the other are free once it is gone.
+void Gateway::TakeAll() {
+  if (!std::exchange(whole_, true)) policy_.Scale(2);
+  if (predecessor_ || successor_) return;
+  clients_.SetMost(most_clients_);
+  hosts_.SetMost(most_hosts_);
+}
+
+Estate Gateway::Leave() const {
+  Estate estate;
+  estate.list.revision = revision_;
+  for (const auto& [id, host] : list_) estate.list.hosts.push_back(host);
+  estate.learned = policy_.Remember();
+  return estate;
+}
+
+void Gateway::ShareWith(std::unique_ptr<Link> successor) {
+  std::fprintf(stderr, "a process that replaces this one has come\n");
+  successor_ = std::move(successor);
+  successor_ready_ = false;
+  if (std::exchange(whole_, false)) policy_.Scale(0.5);
+  HalvePlaces();
+  successor_->Listen({[this](std::string_view word, const Descriptor&) {
+                        if (word == "ready") successor_ready_ = true;
+                      },
+                      [this] {
+                        std::fprintf(stderr, "the process that replaces this one has gone\n");
+                        successor_.reset();
+                        if (!stopping_) TakeAll();
+                      }});
+}
+
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
+  if (Succeeded()) return LeaveTo(std::move(done));
   clients_.Drain(true);
   stop_.expires_after(Span(kAcceptFor));
   stop_.async_wait([this, done = std::move(done)](error_code) {
     clients_.StopListening(done);
-    stop_.expires_after(Span(kAnswerAll - kAcceptFor));
-    stop_.async_wait([this, done](error_code) {
-      std::vector<std::string> left;
-      for (const auto& [id, flow] : flows_) left.push_back(id);
-      for (const std::string& id : left) Overdue(id);
-      stop_.expires_after(Span(kFlush));
-      stop_.async_wait([done](error_code) { done(); });
-    });
+    FinishBy(kAnswerAll - kAcceptFor, done);
+  });
+}
+
+// Another process accepts from the same queue already: it is given what rests, and the rest is finished here.
+void Gateway::LeaveTo(std::function<void()> done) {
+  successor_->Say("leaving");
+  clients_.GiveAway(
+      [this](Descriptor client) {
+        if (!successor_ || !successor_->open()) return false;
+        successor_->Say("client", std::move(client));
+        return true;
+      },
+      [this, done] { Flushed(done); });
+  FinishBy(kAnswerAll, done);
+}
+
+// What was given must have left before the process ends.
+void Gateway::Flushed(const std::function<void()>& done) {
+  if (!successor_ || successor_->flushed()) return done();
+  overlap_.expires_after(Span(kFlush / 20));
+  overlap_.async_wait([this, done](error_code) { Flushed(done); });
+}
+
+void Gateway::FinishBy(Millis time, const std::function<void()>& done) {
+  stop_.expires_after(Span(time));
+  stop_.async_wait([this, done](error_code) {
+    std::vector<std::string> left;
+    for (const auto& [id, flow] : flows_) left.push_back(id);
+    for (const std::string& id : left) Overdue(id);
+    stop_.expires_after(Span(kFlush));
+    stop_.async_wait([done](error_code) { done(); });
   });
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,9 +8,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +19,7 @@
 #include "config.hpp"
 #include "discovery.hpp"
 #include "figures.hpp"
+#include "handover.hpp"
 #include "host_pool.hpp"
 #include "management.hpp"
 #include "opalswitch/policy.hpp"
@@ -58,6 +59,19 @@
     boost::asio::steady_timer overdue;
   };
 
+  Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance);
+
+  // The replacement of this process by another, or of another by this one.
+  void ShareWith(Link& predecessor);
+  void ShareWith(std::unique_ptr<Link> successor);
+  void TakeAll();
+  Estate Leave() const;
+  void HalvePlaces();
+  void LeaveTo(std::function<void()> done);
+  void Flushed(const std::function<void()>& done);
+  void FinishBy(Millis time, const std::function<void()>& done);
+  bool Succeeded() const { return successor_ && successor_ready_ && successor_->open(); }
+
   void Take(ClientRequest request);
   void Told(const HostList& list);
   void ListFailed();
@@ -86,6 +100,7 @@
   boost::asio::io_context& io_;
   const Settings settings_;
   Policy policy_;
+  const std::size_t most_clients_, most_hosts_;  // connections, while this process is the whole gateway
   HostPool hosts_;
   Discovery discovery_;
   std::unordered_map<std::string, Flow> flows_;
@@ -93,16 +108,24 @@
   bool reporting_ = false;
   bool listed_ = false;  // some list of hosts is known
   bool stopping_ = false;
-  bool draining_ = false;           // by the operators' word
-  std::set<std::string> host_ids_;  // listed, draining ones too
+  bool draining_ = false;             // by the operators' word
+  std::int64_t revision_ = 0;         // of the list of hosts
+  std::map<std::string, Host> list_;  // draining ones too
   Figures figures_;
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
   boost::asio::steady_timer counting_;
   HostPool::Counts counted_;  // as last logged
   int gone_ = 0;              // clients that left unanswered, since then
+  boost::asio::steady_timer overlap_;
+  const bool shared_;  // at the start another process listened there, and handed nothing over
   ClientServer clients_;
   std::optional<ManagementServer> management_;
+  std::unique_ptr<Link> predecessor_, successor_;
+  bool predecessor_told_ = false;  // that this process takes clients
+  bool whole_ = true;              // acts on all that was learned, not on a part
+  bool successor_ready_ = false;
+  std::optional<Handover> handover_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -332,6 +332,11 @@
   return false;
 }
 
+void HostPool::SetMost(std::size_t connections) {
+  limits_.connections = connections;
+  while (connections_ > connections && EvictIdle()) continue;
+}
+
 bool HostPool::MayUse(const std::string& host, const tcp::endpoint& address) const {
   const auto found = hosts_.find(host);
   return found != hosts_.end() && found->second.address == address;
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -45,6 +45,8 @@
   void Cancel(std::uint64_t attempt);
 
   std::size_t connections() const { return connections_; }
+  // How many there may be from now on; idle ones beyond it are closed.
+  void SetMost(std::size_t connections);
 
   // What became of the connections, from the start on.
   struct Counts {
@@ -68,7 +70,7 @@
   void Forget(const std::string& host, const Connection* connection);
 
   boost::asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
   std::size_t connections_ = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -100,6 +100,75 @@
     }));
   }
 
+  Learned Remember() const {
+    Learned all{rate_, failing_, mean_latency_, warm_served_, warm_time_, samples_, {}, {}};
+    for (const Tier& c : classes_) all.classes.push_back({c.set.name, c.latency, c.samples, c.most_left});
+    for (const auto& [id, b] : servers_) {
+      if (!b.up) continue;
+      all.servers.push_back({id, b.latency, b.steady, b.base, b.failing, b.limit, b.samples, b.suspect,
+                             b.lost, std::max(kNever, b.cold_since)});
+    }
+    return all;
+  }
+
+  void Adopt(Millis now, const Learned& all) {
+    Refill(now);
+    if (all.rate > 0) rate_ = all.rate;
+    tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
+    failing_ = all.failing;
+    mean_latency_ = all.mean_latency;
+    samples_ = all.samples;
+    warm_served_ = all.warm_served;
+    warm_time_ = all.warm_time;
+    swept_at_ = now_;
+    LearnReference(0);
+    for (const Learned::Class& known : all.classes) {
+      const auto found = class_index_.find(known.name);
+      if (found == class_index_.end()) continue;
+      Tier& c = classes_[found->second];
+      c.latency = known.latency;
+      c.samples = known.samples;
+      c.most_left = known.most_left;
+    }
+    std::map<const Kind*, int> kinds;
+    for (const Learned::Server& known : all.servers) {
+      const auto found = servers_.find(known.id);
+      if (found == servers_.end() || !found->second.up) continue;
+      Backend& b = found->second;
+      b.cold_credit = 0;  // a chance part of a request was given when the server came
+      if (known.samples <= 0) continue;
+      if (b.info.started_at > 0 && b.info.started_at > known.cold_since) continue;  // it has restarted since
+      b.latency = known.latency;
+      b.steady = known.steady;
+      b.base = known.base;
+      b.failing = known.failing;
+      b.limit = known.limit;
+      b.places = std::max(1.0, std::floor(b.limit));
+      b.samples = known.samples;
+      b.lost = known.lost;
+      b.cold_since = known.cold_since;
+      b.suspect = known.suspect;
+      if (b.suspect) b.next_trial = now_ + b.trial_gap * (0.75 + 0.5 * Uniform());
+      Kind& k = *b.kind;  // the mean of its servers
+      const double part = 1.0 / ++kinds[b.kind];
+      k.latency += part * (b.latency - k.latency);
+      k.steady += part * (b.steady - k.steady);
+      k.base += part * (b.base - k.base);
+      k.samples += b.samples;
+    }
+    ChooseSubset();
+  }
+
+  void Scale(double part) {
+    rate_ = std::clamp(rate_ * part, 1.0 * up_ / set_.gateways, kStartRate * std::max(1, up_));
+    tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
+    warm_served_ *= part;
+    for (auto& [id, b] : servers_) {
+      b.limit = std::max(LeastLimit(), b.limit * part);
+      b.places = std::max(1.0, std::floor(b.limit));
+    }
+  }
+
  private:
   // ---- Membership ------------------------------------------------------------------------------
 
@@ -654,5 +723,8 @@
 }
 
 std::size_t Policy::avoided() const { return impl_->Avoided(); }
+Learned Policy::Remember() const { return impl_->Remember(); }
+void Policy::Adopt(Millis now, const Learned& learned) { impl_->Adopt(now, learned); }
+void Policy::Scale(double part) { impl_->Scale(part); }
 
 }  // namespace opalswitch
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -993,5 +993,56 @@
   for (std::size_t i = 0; i < a.sent.size(); ++i) EXPECT_EQ(a.sent[i].server, b.sent[i].server);
 }
 
+// Guards what a replacement takes over: it avoids whom the old process avoided, goes by what that measured,
+// and for as long as both run each sends at half the rate.
+TEST(Replacement, GoesOnWithWhatWasLearned) {
+  Gateway old;
+  old.Servers(3);
+  old.Serve(200, 50);
+  for (int i = 0; i < 40 && old.policy.avoided() == 0; ++i) {
+    const std::string id = "f" + std::to_string(i);
+    const std::string server = Gateway::SentTo(old.Ask(id));
+    old.now += 1;
+    old.End(id, server, server == "s1" ? Result::kConnectFailed : Result::kServed, 50);
+  }
+  ASSERT_EQ(old.policy.avoided(), 1u);
+  const Learned learned = old.policy.Remember();
+  Gateway next;
+  next.now = old.now;
+  next.Servers(3);
+  next.policy.Adopt(next.now, learned);
+  EXPECT_EQ(next.policy.avoided(), 1u);
+  for (int i = 0; i < 10; ++i) EXPECT_NE(Gateway::SentTo(next.Ask("n" + std::to_string(i))), "s1");
+  const Learned again = next.policy.Remember();
+  ASSERT_EQ(again.servers.size(), 3u);
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(again.servers[i].latency, learned.servers[i].latency);
+  EXPECT_EQ(again.rate, learned.rate);
+  next.policy.Scale(0.5);
+  EXPECT_DOUBLE_EQ(next.policy.Remember().rate, learned.rate / 2);
+  EXPECT_DOUBLE_EQ(next.policy.Remember().warm_served, learned.warm_served / 2);
+  next.policy.Scale(2);
+  EXPECT_DOUBLE_EQ(next.policy.Remember().rate, learned.rate);
+}
+
+// Guards a cold server during a replacement: the chance part of a request that a new one starts with was
+// spent by the old process, and is not given twice. A server that has restarted since is not taken for the
+// old one.
+TEST(Replacement, GivesColdServersNothingTwice) {
+  Gateway old;
+  old.Servers(1);
+  old.Serve(100, 50);
+  const Learned learned = old.policy.Remember();
+  int sent = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Gateway next(MakeSettings(), seed);
+    next.now = old.now;
+    next.List({MakeServer("s0", "0", next.now - 1)});  // cold
+    next.policy.Adopt(next.now, learned);
+    EXPECT_EQ(next.policy.Remember().servers[0].latency, 0);  // nothing holds of the process before
+    sent += !Gateway::SentTo(next.Ask("r")).empty();
+  }
+  EXPECT_EQ(sent, 0);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- /dev/null
+++ b/tests/replacement_test.cpp
@@ -0,0 +1,167 @@
+// The replacement of the running process by another. Each test says what it guards.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <cstring>
+#include <filesystem>
+
+#include "process.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+// What both processes share: discovery, one host, the clients' address and the folder.
+struct Platform {
+  Platform() {
+    folder = std::filesystem::path(::testing::TempDir()) / ("forkwick-tmp-" + std::to_string(getpid()));
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directory(folder);
+    host.serve = [this](const Peer::Taken& taken) {
+      if (taken.http["Req-Id"] != "held") return taken.Answer(200, std::string(taken.http["Req-Id"]));
+      held.push_back(taken);
+    };
+    discovery.serve = [](const Peer::Taken&) {};
+  }
+  ~Platform() { std::filesystem::remove_all(folder); }
+
+  struct Instance {
+    tcp::endpoint management;
+    std::unique_ptr<Process> process;
+  };
+  Instance Start() {
+    Instance instance{FreeAddress(io), nullptr};
+    instance.process = std::make_unique<Process>(
+        std::vector<std::pair<std::string, std::string>>{{"NODE_CONFIG", file.path},
+                                                         {"NODE_LISTEN", ToText(listen)},
+                                                         {"NODE_DISCOVERY", ToText(discovery.address())},
+                                                         {"NODE_MGMT", ToText(instance.management)},
+                                                         {"TMPDIR", folder.string()}});
+    return instance;
+  }
+  // The first word of the answer to a call; nothing where nobody listens.
+  std::string Call(const Instance& instance, const std::string& call) {
+    tcp::socket socket(io);
+    error_code ec;
+    socket.connect(instance.management, ec);
+    if (ec) return "";
+    asio::write(socket, asio::buffer(call), ec);
+    std::string answer;
+    bool ended = false;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [&](error_code, std::size_t) { ended = true; });
+    EXPECT_TRUE(RunUntil(io, [&] { return ended; }));
+    return answer.substr(0, answer.find_first_of(" \n"));
+  }
+  bool Ready(const Instance& instance) {
+    return RunUntil(io, [&] { return Call(instance, "check\n") == "SUCCESS"; });
+  }
+  std::string Ask(Client& client, const std::string& id, std::size_t answer = 1) {
+    client.Send(ApiCall(id));
+    return client.Await(answer).body();
+  }
+
+  asio::io_context io;
+  Peer host{io}, discovery{io};
+  std::vector<Peer::Taken> held;
+  const tcp::endpoint listen = FreeAddress(io);
+  std::filesystem::path folder;
+  const File file{nlohmann::json{
+      {"seed", "1f"}, {"known", List(1, true, {Member("h0", host.address())})}, {"settings", TestSettings()}}
+                      .dump()};
+};
+
+// Guards a replacement as the platform does it: the connection that a client holds idle outlives the old
+// process, so does one whose request is under way, that request is answered, and nobody is refused meanwhile.
+TEST(Replacement, TakesOverWithoutTurningAnyoneBack) {
+  Platform platform;
+  auto old = platform.Start();
+  ASSERT_TRUE(platform.Ready(old));
+  Client idle(platform.io, platform.listen), busy(platform.io, platform.listen);
+  EXPECT_EQ(platform.Ask(idle, "one"), "one");
+  busy.Send(ApiCall("held", "pay"));
+  ASSERT_TRUE(RunUntil(platform.io, [&] { return platform.held.size() == 1; }));
+  auto next = platform.Start();
+  ASSERT_TRUE(platform.Ready(next));
+  EXPECT_EQ(platform.Call(old, "check\n"), "SUCCESS");  // both serve until the old one is told to end
+  old.process->Terminate();
+  for (int i = 0; i < 50; ++i) {
+    Client another(platform.io, platform.listen);
+    EXPECT_EQ(platform.Ask(another, "n" + std::to_string(i)), "n" + std::to_string(i));
+  }
+  platform.held[0].Answer(200, "held");
+  EXPECT_EQ(busy.Await().body(), "held");
+  EXPECT_TRUE(busy.Await().keep_alive());
+  ASSERT_TRUE(RunUntil(platform.io, [&] { return old.process->Ended(); }));
+  EXPECT_EQ(old.process->Wait(), 0);
+  EXPECT_EQ(platform.Ask(idle, "two", 2), "two");
+  EXPECT_EQ(platform.Ask(busy, "three", 2), "three");
+  EXPECT_FALSE(idle.ended());
+  EXPECT_FALSE(busy.ended());
+  auto last = platform.Start();  // and once more
+  ASSERT_TRUE(platform.Ready(last));
+  next.process->Terminate();
+  ASSERT_TRUE(RunUntil(platform.io, [&] { return next.process->Ended(); }));
+  EXPECT_EQ(platform.Ask(idle, "four", 3), "four");
+}
+
+// Guards against an old process that is killed in the middle, and against a new one that dies: the other goes
+// on.
+TEST(Replacement, OutlivesTheEndOfEitherSide) {
+  Platform platform;
+  auto old = platform.Start();
+  ASSERT_TRUE(platform.Ready(old));
+  {
+    auto dies = platform.Start();
+    ASSERT_TRUE(platform.Ready(dies));
+    dies.process->Kill();
+    dies.process->Wait();
+  }
+  Client client(platform.io, platform.listen);
+  EXPECT_EQ(platform.Ask(client, "one"), "one");
+  auto next = platform.Start();
+  ASSERT_TRUE(platform.Ready(next));
+  old.process->Kill();
+  old.process->Wait();
+  for (int i = 0; i < 10; ++i) {
+    Client another(platform.io, platform.listen);
+    EXPECT_EQ(platform.Ask(another, "n" + std::to_string(i)), "n" + std::to_string(i));
+  }
+}
+
+// Guards the start against whatever lies in the common folder, and against an old process that hangs: the
+// address is shared all the same.
+TEST(Replacement, StartsWithoutTheHandover) {
+  for (const std::string there : {"file", "folder", "stale socket", "hung process"}) {
+    SCOPED_TRACE(there);
+    Platform platform;
+    const std::string path =
+        (platform.folder / ("forkwick-" + std::to_string(platform.listen.port()) + ".sock")).string();
+    if (there == "file") std::ofstream(path) << "not ours";
+    if (there == "folder") std::filesystem::create_directory(path);
+    if (there == "stale socket") {
+      const int socket = ::socket(AF_UNIX, SOCK_SEQPACKET, 0);
+      sockaddr_un at{};
+      at.sun_family = AF_UNIX;
+      std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
+      ASSERT_EQ(::bind(socket, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+      ::close(socket);
+    }
+    auto old = platform.Start();
+    ASSERT_TRUE(platform.Ready(old));
+    if (there == "hung process") old.process->Hang();
+    auto next = platform.Start();
+    EXPECT_TRUE(platform.Ready(next));
+    if (there == "hung process") {
+      old.process->Kill();
+    } else {
+      old.process->Terminate();
+    }
+    ASSERT_TRUE(RunUntil(platform.io, [&] { return old.process->Ended(); }));
+    Client client(platform.io, platform.listen);
+    EXPECT_EQ(platform.Ask(client, "one"), "one");
+  }
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
