--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -74,7 +74,13 @@
   Millis time_left = 0;    // until the client gives this try up
 };
 
-// The answer of a streamed class has begun; the attempt now belongs to the client.
+// The last byte of a request that was taken before it was whole has come: its time begins here.
+struct RequestWhole {
+  std::string request;
+  Millis time_left = 0;  // until the client gives this try up
+};
+
+// An answer that is passed on as it comes has begun; the attempt now belongs to the client.
 struct StreamStarted {
   std::string request;
   int attempt = 0;
@@ -100,6 +106,7 @@
   bool finished = false;     // the request is over: by this outcome or before it
   Millis latency = 0;        // since the Send
   std::vector<double> load;  // the server's load report, as in Settings::report_fields; may be empty
+  bool held = true;          // the gateway still has the whole request, and could send it again
 };
 
 // The client has left; nothing is owed for the request any more.
@@ -132,7 +139,7 @@
   std::vector<Server> servers;
 };
 
-using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews>;
+using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews, RequestWhole>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -3,12 +3,16 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -28,8 +32,11 @@
 constexpr Millis kSweepEvery = 500;
 constexpr Millis kIdle = 75000;          // a connection without a request is closed
 constexpr Millis kFirst = 2000;          // the first request of a connection must have begun by then
-constexpr Millis kPartial = 2000;        // a request that was begun must be whole by then
-constexpr Millis kUnread = 5000;         // an answer must have been taken in by then
+constexpr Millis kPartial = 2700;        // a head that was begun must be whole by then
+constexpr Millis kStill = 2000;          // a body that is waited for must go on by then
+constexpr Millis kBodyGrace = 700;       // beyond what a body may take at the least rate
+constexpr double kBodyRate = 32;         // bytes/ms: half of what slow clients send
+constexpr Millis kUnread = 10000;        // a piece of an answer must have been taken in by then
 constexpr Millis kLinger = 1000;         // a client that was told of the close gets this to close first
 constexpr Millis kShedAfter = 500;       // into a drain: the front has stopped by then
 constexpr Millis kShedRest = 300;        // a connection that is no older may have a request on its way
@@ -72,7 +79,8 @@
 // One connection of a client. Between requests it only waits: nothing that comes is read before it is taken
 // up, so such a connection can be closed or given away knowing what it holds. While a request is under way it
 // waits as well, to see the client leave; a request that comes before the answer stays unread until its turn.
-class ClientServer::Session : public std::enable_shared_from_this<Session> {
+// Of a request's body that is too long to be held it is the source.
+class ClientServer::Session : public BodySource, public std::enable_shared_from_this<Session> {
  public:
   Session(ClientServer& server, tcp::socket socket, bool adopted)
       : server_(server), socket_(std::move(socket)), turn_(adopted ? 1 : 0) {}
@@ -97,6 +105,9 @@
     error_code ignored;
     socket_.close(ignored);
     server_.Closed(shared_from_this());
+    Charge(0);
+    if (rest_) std::exchange(rest_, nullptr)->Drop();
+    if (taken_) Break();
   }
 
   // Gives the connection to another process, with what it holds unread. False if it has to stay for now.
@@ -118,9 +129,7 @@
       // begin after a long rest, and counts from when it was first seen.
       const bool begun = !Resting();
       if (!begun && turn_ > 0) begun_at_ = now;
-      if (begun && now - begun_at_ > kPartial) {
-        return Refuse({http::status::request_timeout, "the request is not whole"});
-      }
+      if (begun && (in_body_ ? BodyStands(now) : now - begun_at_ > kPartial)) return Late();
       if (server_.drains_since_) {
         const Millis drained = now - *server_.drains_since_;
         if (begun && drained > kShedPartial) {
@@ -129,12 +138,25 @@
         if (drained > kShedAfter && age > kShedRest && Idle()) return Close();
       }
       if (age > (turn_ == 0 ? kFirst : kIdle) && Idle()) Close();
-    } else if ((phase_ == Phase::kWriting && age > kUnread) ||
+    } else if (phase_ == Phase::kWaiting) {
+      if (in_body_ && asked_ && BodyStands(now)) Late();
+    } else if ((phase_ == Phase::kWriting && writing_ && age > kUnread) ||
                (phase_ == Phase::kLingering && age > kLinger)) {
       Close();
     }
   }
 
+  // The body's next piece.
+  void Next(Taken taken) override {
+    taken_ = std::move(taken);
+    begun_ = true;
+    Charge(0);
+    if (phase_ != Phase::kWaiting) return Break();
+    ReadPiece();
+  }
+  void Drop() override {}  // the answer ends the connection
+  bool begun() const override { return begun_; }
+
  private:
   enum class Phase { kReading, kWaiting, kWriting, kLingering, kClosed };
 
@@ -143,6 +165,40 @@
     since_ = begun_at_ = Now();
   }
 
+  // Whether the client is too slow with the body. Only the time counts that it was waited for.
+  bool BodyStands(Millis now) const {
+    if (!asked_) return false;
+    const Millis waited = waited_ + now - asked_at_;
+    const double got = static_cast<double>(body_got_);
+    // What a first request's head has left of its 3 s is the body's too.
+    const Millis grace = std::max(kBodyGrace, kPartial - (body_at_ - begun_at_));
+    return now - asked_at_ > kStill || waited > grace + got / kBodyRate;
+  }
+
+  void Late() {
+    Abandon();
+    Refuse({http::status::request_timeout, "the request is not whole"});
+  }
+
+  // The request that was passed on before it was whole will never be.
+  void Abandon() {
+    if (phase_ != Phase::kWaiting) return;
+    Enter(Phase::kWriting);
+    server_.handlers_.gone(id_);
+    End(/*told=*/false, /*whole=*/false);
+    if (taken_) Break();
+  }
+
+  // Whoever waits for a piece gets none.
+  void Break() {
+    asio::post(server_.io_, [self = shared_from_this(), taken = std::exchange(taken_, nullptr)] {
+      taken(asio::error::connection_reset, {}, false);
+    });
+  }
+
+  // Counts what is held of bodies.
+  void Charge(std::size_t bytes) { server_.held_ = server_.held_ - std::exchange(charged_, bytes) + bytes; }
+
   // Between requests: nothing of the next one has been read.
   bool Resting() const { return phase_ == Phase::kReading && !reading_; }
 
@@ -162,14 +218,112 @@
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->phase_ == Phase::kLingering) return self->Close();
+    in_body_ = begun_ = false;
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code ec, std::size_t) {
+                              if (self->phase_ == Phase::kReading) self->GotHead(ec);
+                            });
+  }
+
+  void GotHead(error_code ec) {
+    if (ec) return Malformed(ec);
+    http_ = {};
+    http_.base() = parser_->get().base();
+    keep_alive_ = parser_->keep_alive();
+    version_ = http_.version();
+    request_ = {};
+    const auto fault = server_.CheckFraming(http_, parser_->chunked(), parser_->content_length().value_or(0));
+    if (fault) return Refuse(*fault);
+    const std::string_view target(http_.target().data(), http_.target().size());
+    const bool up = target == "/up" && http_.method() == http::verb::get;
+    if (!up) {
+      if (const auto wrong = server_.Check(http_, request_)) {
+        // With no body the connection has a place to go on from.
+        if (!parser_->is_done()) return Refuse(*wrong);
+        Enter(Phase::kWaiting);
+        return Explain(*wrong);
+      }
+    }
+    in_body_ = true;
+    body_at_ = Now();
+    body_got_ = 0;
+    waited_ = 0;
+    if (!parser_->is_done() && http_.count(http::field::expect) > 0 && version_ >= 11) return Continue();
+    ReadPiece();
+  }
+
+  // The client waits for a word before it sends the body.
+  void Continue() {
+    static constexpr std::string_view kWord = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(socket_, asio::buffer(kWord), [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase_ != Phase::kReading) return;
-      if (ec && !IsMalformed(ec)) return self->Close();
-      self->Take(ec, Now());
+      ec ? self->Close() : self->ReadPiece();
     });
   }
 
+  // Reads on in the body; what it gets is held, or goes to whoever asked for it.
+  void ReadPiece() {
+    if (parser_->is_done()) {
+      // Never before this returns: what asked may not be ready for its answer.
+      if (taken_) return asio::post(server_.io_, [self = shared_from_this()] { self->GotPiece({}, 0); });
+      return GotPiece({}, 0);
+    }
+    asked_ = true;
+    asked_at_ = Now();
+    piece_.resize(kPiece);
+    buffer_.reserve(std::max<std::size_t>(buffer_.size(), taken_ ? kPiece : kPiece / 4));
+    auto& body = parser_->get().body();
+    body.data = piece_.data();
+    body.size = piece_.size();
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](error_code ec, std::size_t) {
+                            if (ec == http::error::need_buffer) ec = {};
+                            self->GotPiece(ec, kPiece - self->parser_->get().body().size);
+                          });
+  }
+
+  void GotPiece(error_code ec, std::size_t got) {
+    if (phase_ != Phase::kReading && phase_ != Phase::kWaiting) return;
+    if (asked_) waited_ += Now() - asked_at_;
+    asked_ = false;
+    body_got_ += got;
+    if (ec) return Malformed(ec);
+    const bool last = parser_->is_done();
+    if (last) in_body_ = false;
+    if (taken_) {
+      if (got == 0 && !last) return ReadPiece();
+      if (last) {
+        ++server_.active_;
+        counted_ = true;
+        Watch();
+        server_.handlers_.whole(id_, Now());
+      }
+      if (!taken_) return;  // it was ended by that
+      return std::exchange(taken_, nullptr)({}, {piece_.data(), got}, last);
+    }
+    http_.body().append(piece_.data(), got);
+    if (last) return Take();
+    Charge(http_.body().size());
+    const std::size_t most = server_.held_ > server_.most_held_ ? kPiece / 4 : kMostHeld;
+    http_.body().size() > most ? Take() : ReadPiece();
+  }
+
+  void Malformed(error_code ec) {
+    if (!IsMalformed(ec)) {  // it has left
+      const bool waiting = phase_ == Phase::kWaiting;
+      Close();
+      if (waiting) server_.handlers_.gone(id_);
+      return;
+    }
+    Abandon();
+    const bool large = ec == http::error::body_limit;
+    const bool header = ec == http::error::header_limit;
+    Refuse({large    ? http::status::payload_too_large
+            : header ? http::status::request_header_fields_too_large
+                     : http::status::bad_request,
+            ec.message()});
+  }
+
   // Sees the client leave while its request is under way. A client that has sent more is not looked at again.
   void Watch() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), wait = ++wait_](error_code ec) {
@@ -183,48 +337,45 @@
     });
   }
 
-  void Take(error_code ec, Millis at) {
-    if (ec) {
-      const bool large = ec == http::error::body_limit;
-      const bool header = ec == http::error::header_limit;
-      return Refuse({large    ? http::status::payload_too_large
-                     : header ? http::status::request_header_fields_too_large
-                              : http::status::bad_request,
-                     ec.message()});
-    }
-    HttpRequest http = parser_->release();
-    keep_alive_ = http.keep_alive();
-    version_ = http.version();
-    const std::string_view target(http.target().data(), http.target().size());
-    if (target == "/up" && http.method() == http::verb::get) {
+  // The request is whole, or more of it than is held has come.
+  void Take() {
+    if (request_.id.empty()) {
       const bool ready = server_.handlers_.ready();
       Enter(Phase::kWaiting);
-      return Answer(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11));
-    }
-    ClientRequest request;
-    if (const auto fault = server_.Check(http, request)) {
-      Enter(Phase::kWaiting);
-      return Explain(*fault);
+      return Answer(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11), nullptr);
     }
-    request.http = std::move(http);
-    request.received = at;
-    request.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response) {
+    ClientRequest request = std::move(request_);
+    request.http = std::exchange(http_, {});
+    request.received = Now();
+    request.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response,
+                                                               std::shared_ptr<BodySource> rest) {
       const auto self = weak.lock();
-      if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) self->Answer(std::move(response));
+      if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) {
+        self->Answer(std::move(response), std::move(rest));
+      } else if (rest) {
+        rest->Drop();
+      }
     };
     id_ = request.id;
     class_name_ = request.class_name;
     open_request_ = true;
-    ++server_.active_;
+    const Millis begun = begun_at_;
     Enter(Phase::kWaiting);
-    Watch();
+    begun_at_ = begun;
+    if (in_body_) {
+      request.rest = shared_from_this();
+    } else {
+      ++server_.active_;
+      counted_ = true;
+      Watch();
+    }
     server_.handlers_.taken(std::move(request));
   }
 
   // The request that was taken has its answer, or never will.
   void End(bool told, bool whole) {
     if (!std::exchange(open_request_, false)) return;
-    --server_.active_;
+    if (std::exchange(counted_, false)) --server_.active_;
     if (told) server_.handlers_.ended(class_name_, response_.result_int(), whole);
   }
 
@@ -239,32 +390,93 @@
     response.set(http::field::content_type, "text/plain");
     if (fault.status == http::status::method_not_allowed) response.set(http::field::allow, "GET, POST");
     response.body() = fault.text + "\n";
-    Answer(std::move(response));
+    Answer(std::move(response), nullptr);
   }
 
-  void Answer(HttpResponse response) {
+  void Answer(HttpResponse response, std::shared_ptr<BodySource> rest) {
     Enter(Phase::kWriting);
     response_ = std::move(response);
     response_.version(version_);
+    rest_ = std::move(rest);
     // In a drain, or with clients waiting for a place, the connection ends here: but not on a request that
-    // has been taken in already.
+    // has been taken in already. Nor does it go on behind a body that was not read to its end.
     error_code ec;
     const bool more = buffer_.size() > 0 || socket_.available(ec) > 0;
-    keep_alive_ = keep_alive_ && (more || !(server_.drains_since_ || server_.Full()));
+    keep_alive_ = keep_alive_ && !in_body_ && (more || !(server_.drains_since_ || server_.Full()));
+    if (rest_) return AnswerInPieces();
     response_.keep_alive(keep_alive_);
     response_.prepare_payload();
+    writing_ = true;
     http::async_write(socket_, response_, [self = shared_from_this()](error_code written, std::size_t) {
       if (self->phase_ == Phase::kWriting) self->Written(written);
     });
   }
 
+  // The head and what there is of the body, then the rest as it comes.
+  void AnswerInPieces() {
+    chunked_ = !response_.has_content_length() && version_ >= 11;
+    sized_ = response_.has_content_length() || chunked_;
+    if (chunked_) response_.chunked(true);
+    if (!sized_) keep_alive_ = false;  // its end is that of the connection
+    response_.keep_alive(keep_alive_);
+    frame_ = HeadText(response_);
+    WritePiece(response_.body(), /*last=*/false);
+  }
+
+  void WritePiece(std::string_view piece, bool last) {
+    since_ = Now();
+    writing_ = true;
+    std::string_view end;
+    if (chunked_) {
+      char size[24];
+      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+      if (!piece.empty()) frame_ += size;
+      end = piece.empty() ? (last ? "0\r\n\r\n" : "") : last ? "\r\n0\r\n\r\n" : "\r\n";
+    }
+    if (last) {
+      frame_ += piece;
+      piece = {};
+    }
+    const std::array<asio::const_buffer, 3> parts = {
+        asio::buffer(frame_), asio::buffer(piece.data(), piece.size()), asio::buffer(end.data(), end.size())};
+    asio::async_write(socket_, parts, [self = shared_from_this(), last](error_code ec, std::size_t) {
+      if (self->phase_ != Phase::kWriting) return;
+      self->writing_ = false;
+      self->frame_.clear();
+      self->response_.body().clear();
+      if (ec) return self->Close();
+      last ? self->Written(ec) : self->Pull();
+    });
+  }
+
+  void Pull() {
+    rest_->Next([self = shared_from_this()](const error_code& ec, std::string_view piece, bool last) {
+      if (self->phase_ != Phase::kWriting) return;
+      ec ? self->BreakOff() : self->WritePiece(piece, last);
+    });
+  }
+
+  // The client must be able to tell that the answer is not whole.
+  void BreakOff() {
+    error_code ignored;
+    if (!sized_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    rest_.reset();
+    Close();
+  }
+
   void Written(error_code ec) {
+    writing_ = false;
+    rest_.reset();
     End(/*told=*/true, /*whole=*/!ec);
     response_ = {};  // a connection at rest holds no memory for bodies
+    piece_ = {};
+    http_ = {};
+    Charge(0);
     if (ec) return Close();
     if (!keep_alive_) return Linger();
     Enter(Phase::kReading);
     reading_ = buffer_.size() > 0;
+    if (!reading_) buffer_.shrink_to_fit();
     if (server_.give_ && GiveAway()) return;
     if (server_.stopped_ && Idle()) return Close();
     Read();
@@ -286,6 +498,9 @@
       if (!ec) self->socket_.non_blocking(true, ec);
       const std::size_t got = ec ? 0 : self->socket_.read_some(asio::buffer(sink), ec);
       if (got == 0 && ec != asio::error::would_block) return self->Close();
+      self->discarded_ += got;
+      if (self->discarded_ > kMostBody) return self->Close();
+      self->since_ = Now();  // it still sends, and may not have seen its answer
       self->Discard();
     });
   }
@@ -293,7 +508,21 @@
   ClientServer& server_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBuffer};
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<http::buffer_body>> parser_;
+  HttpRequest http_;       // what has been read of the request
+  ClientRequest request_;  // the same, checked
+  std::vector<char> piece_;
+  Taken taken_;                       // who waits for a piece of the request
+  std::shared_ptr<BodySource> rest_;  // of the answer
+  std::string frame_;                 // goes out before the piece that is written
+  std::size_t charged_ = 0;           // bytes held of a body, as counted
+  std::uint64_t body_got_ = 0, discarded_ = 0;
+  Millis body_at_ = 0, asked_at_ = 0, waited_ = 0;  // when the body began; the time that it was waited for
+  bool in_body_ = false;                            // the head is read, the body not to its end
+  bool asked_ = false;                              // the client is waited for
+  bool begun_ = false;                              // some of the body was handed on
+  bool counted_ = false;                            // as a request under way
+  bool writing_ = false, chunked_ = false, sized_ = true;
   HttpResponse response_;
   std::string id_, class_name_;
   bool open_request_ = false;  // one was taken, and its answer is not written
@@ -309,10 +538,11 @@
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, bool shared,
                            Descriptor listener, std::size_t most_sessions, const Settings& settings,
-                           Handlers handlers)
+                           std::size_t most_held, Handlers handlers)
     : io_(io),
       acceptor_(io),
       most_sessions_(most_sessions),
+      most_held_(most_held),
       handlers_(std::move(handlers)),
       sweep_(io),
       accept_again_(io) {
@@ -435,6 +665,35 @@
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
 }
 
+// What would let two readers see two requests in one, and what can't be passed on.
+std::unique_ptr<ClientServer::Fault> ClientServer::CheckFraming(const HttpRequest& http, bool chunked,
+                                                                std::uint64_t length) const {
+  const auto fault = [](http::status status, const char* text) {
+    return std::make_unique<Fault>(Fault{status, text});
+  };
+  const auto codings = http.count(http::field::transfer_encoding);
+  if (codings > 0) {
+    if (http.version() < 11 || http.count(http::field::content_length) > 0 || codings > 1 || !chunked) {
+      return fault(http::status::bad_request, "the framing is contradictory");
+    }
+    if (!boost::beast::iequals(http[http::field::transfer_encoding], "chunked")) {
+      return fault(http::status::not_implemented, "chunked is the one coding");
+    }
+  }
+  if (http.count(http::field::content_length) > 1) {
+    return fault(http::status::bad_request, "the framing is contradictory");
+  }
+  if (length > kMostBody) return fault(http::status::payload_too_large, "the body is too large");
+  if (http.version() != 10 && http.version() != 11) {
+    return fault(http::status::http_version_not_supported, "HTTP/1.1 is spoken");
+  }
+  if (http.count(http::field::expect) > 0 &&
+      !boost::beast::iequals(http[http::field::expect], "100-continue")) {
+    return fault(http::status::expectation_failed, "100-continue is the one expectation");
+  }
+  return nullptr;
+}
+
 std::unique_ptr<ClientServer::Fault> ClientServer::Check(const HttpRequest& http,
                                                          ClientRequest& request) const {
   const auto fault = [](http::status status, std::string text) {
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -13,19 +13,22 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "body.hpp"
 #include "handover.hpp"
 #include "http_types.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
 
-// A client's well-formed request.
+// A client's well-formed request; of a long body what is held so far.
 struct ClientRequest {
   HttpRequest http;
   std::string id, class_name, tenant, key;
-  Millis received = 0;                       // when its last byte was read
-  Millis allowed = 0;                        // how long the client waits, from when it sent it
-  std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
+  Millis received = 0;               // when its last byte was read
+  Millis allowed = 0;                // how long the client waits, from when it sent it
+  std::shared_ptr<BodySource> rest;  // of the body, where that is not whole yet
+  // To be called once; what follows is dropped. The answer's body may have a rest as well.
+  std::function<void(HttpResponse, std::shared_ptr<BodySource>)> answer;
 };
 
 class ClientServer {
@@ -33,6 +36,7 @@
   struct Handlers {
     std::function<bool()> ready;
     std::function<void(ClientRequest)> taken;
+    std::function<void(const std::string& id, Millis at)> whole;  // the last byte of a long body was read
     std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
     // The answer to a request that was taken is written, or has broken off on the way.
     std::function<void(const std::string& class_name, unsigned status, bool whole)> ended;
@@ -41,7 +45,8 @@
   // Listens at once: on the listener given, or else at the address, where others may listen too if it is to
   // be shared. Throws ConfigError if it can't.
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, bool shared,
-               Descriptor listener, std::size_t most_sessions, const Settings& settings, Handlers handlers);
+               Descriptor listener, std::size_t most_sessions, const Settings& settings,
+               std::size_t most_held, Handlers handlers);
   ~ClientServer();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -79,11 +84,14 @@
   void Sweep();
   // Checks a request against the settings and the protocol; the error is an answer's status and text.
   struct Fault;
+  std::unique_ptr<Fault> CheckFraming(const HttpRequest& http, bool chunked, std::uint64_t length) const;
   std::unique_ptr<Fault> Check(const HttpRequest& http, ClientRequest& request) const;
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::size_t most_sessions_;
+  const std::size_t most_held_;  // bytes of bodies, beyond which they are passed on sooner
+  std::size_t held_ = 0;
   std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -104,6 +104,7 @@
     }
   }
   config.sockets = static_cast<std::size_t>(PositiveOr(file, "/limits/sockets", 1024));
+  config.memory = static_cast<std::size_t>(PositiveOr(file, "/limits/memory_mb", 64) * (1 << 20));
   config.settings = ReadSettings(file);
   config.dial_timeout = PositiveOr(file, "/settings/limits/dialTimeoutMs", config.dial_timeout);
   config.idle_timeout = PositiveOr(file, "/settings/limits/connIdleMs", config.idle_timeout);
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -28,7 +28,8 @@
   std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators; none: no such listener
   std::string handover;  // the Unix socket on which a replacement asks for what it takes over; empty: none
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;  // file descriptors that the process may hold
+  std::size_t sockets = 1024;     // file descriptors that the process may hold
+  std::size_t memory = 64 << 20;  // bytes
   Settings settings;
   Millis dial_timeout = 250;
   Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,8 +24,9 @@
 constexpr Millis kLastMargin = 4;    // before it leaves: what the policy has not answered by then is failed
 constexpr Millis kAcceptFor = 500;   // after SIGTERM: connections go on coming for up to 400
 constexpr Millis kAnswerAll = 3300;  // after SIGTERM: all deadlines are over, SIGKILL comes at 3,700 or later
-constexpr Millis kFlush = 200;       // for the last answers to leave
-constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
+constexpr Millis kMostUpload = 1200000;    // a body of the full size at the least rate
+constexpr Millis kFlush = 200;             // for the last answers to leave
+constexpr Millis kAskAgain = 200;          // where lists are pushed: from a call that failed to the next
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
 constexpr Millis kOverlap = 11000;         // both processes run for so long at most, where no link tells
@@ -94,7 +95,7 @@
       policy_(config.settings, config.seed),
       most_clients_(std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3)),
       most_hosts_(std::max<std::size_t>(1, Usable(config.sockets) / 3)),
-      hosts_(io, {config.dial_timeout, config.idle_timeout, most_hosts_}),
+      hosts_(io, {config.dial_timeout, config.idle_timeout, most_hosts_, config.memory / 4}),
       discovery_(io, config.discovery,
                  inheritance.estate ? inheritance.estate->list.revision : config.known.revision,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
@@ -105,9 +106,10 @@
       overlap_(io),
       shared_(!config.handover.empty() && !inheritance.listener && IsTaken(config.listen)),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
-               config.settings,
+               config.settings, config.memory / 4,
                {[this] { return Ready() || Succeeded(); },
                 [this](ClientRequest request) { Take(std::move(request)); },
+                [this](const std::string& id, Millis at) { Whole(id, at); },
                 [this](const std::string& id) {
                   ++gone_;
                   if (Flow* const flow = Find(id)) {
@@ -160,18 +162,39 @@
   if (flows_.contains(request.id)) {  // two answers for one id could not be told apart
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
-    return request.answer(std::move(response));
+    return request.answer(std::move(response), nullptr);
   }
   Flow& flow = flows_.try_emplace(request.id, io_).first->second;
   flow.http = std::make_shared<const HttpRequest>(std::move(request.http));
   flow.answer = std::move(request.answer);
+  flow.rest = std::move(request.rest);
+  flow.whole = flow.rest == nullptr;
+  flow.allowed = request.allowed;
   const Millis gives_up = request.received + request.allowed;
+  flow.leaves_at = gives_up - kMargin;
+  if (flow.whole) SetDeadline(request.id, flow, gives_up);
+  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now()});
+}
+
+void Gateway::SetDeadline(const std::string& id, Flow& flow, Millis gives_up) {
   flow.leaves_at = gives_up - kMargin;
   flow.overdue.expires_after(Span(gives_up - kLastMargin - Now()));
-  flow.overdue.async_wait([this, id = request.id](error_code ec) {
+  flow.overdue.async_wait([this, id](error_code ec) {
     if (!ec) Overdue(id);
   });
-  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now()});
+}
+
+// The last byte of a long request was read: its time, and that of its attempt, begins here.
+void Gateway::Whole(const std::string& id, Millis at) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || std::exchange(flow->whole, true)) return;
+  SetDeadline(id, *flow, at + flow->allowed);
+  for (Attempt& attempt : flow->attempts) {
+    if (!attempt.out) continue;
+    attempt.sent = at;
+    hosts_.SetDeadline(attempt.number, std::min(at + attempt.timeout, flow->leaves_at));
+  }
+  Report(RequestWhole{id, flow->leaves_at - Now()});
 }
 
 void Gateway::Told(const HostList& list) {
@@ -211,14 +234,18 @@
   Attempt& ended = flow->attempts[attempt];
   ended.out = false;
   const auto report = response["Srv-Load"];
+  // Before the request was whole the host had nothing to work on.
+  const Millis latency = flow->whole ? Now() - ended.sent : 0;
+  const bool held = !flow->rest || !flow->rest->begun();
   Outcome outcome{id,
                   static_cast<int>(attempt),
                   ended.host,
                   result,
                   false,
-                  Now() - ended.sent,
-                  ParseLoad({report.data(), report.size()}, settings_.report_fields)};
-  if (result == Result::kServed) {
+                  latency,
+                  ParseLoad({report.data(), report.size()}, settings_.report_fields),
+                  held};
+  if (result == Result::kServed && !flow->answered) {
     StripHopByHop(response);
     response.erase("Srv-Load");
     Answer(*flow, std::move(response));
@@ -226,6 +253,20 @@
   Report(std::move(outcome));
 }
 
+// From here on the answer is the client's, whatever the time.
+void Gateway::Begun(const std::string& id, std::size_t attempt, HttpResponse response,
+                    std::shared_ptr<BodySource> rest) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) {
+    asio::post(io_, [rest] { rest->Drop(); });
+    return;
+  }
+  StripHopByHop(response);
+  response.erase("Srv-Load");
+  Answer(*flow, std::move(response), std::move(rest));
+  Report(StreamStarted{id, static_cast<int>(attempt)});
+}
+
 // The policy's own timers answer in time; this one is for when they came late.
 void Gateway::Overdue(const std::string& id) {
   Flow* const flow = Find(id);
@@ -310,20 +351,30 @@
   const Millis now = Now();
   // A request that is over, or one attempt too many, is never sent, whatever was decided a moment ago.
   if (flow == nullptr || flow->answered ||
-      static_cast<int>(flow->attempts.size()) >= settings_.max_attempts) {
+      static_cast<int>(flow->attempts.size()) >= settings_.max_attempts ||
+      (flow->rest && flow->rest->begun())) {
     const int attempt = flow == nullptr ? 0 : static_cast<int>(flow->attempts.size());
-    if (flow != nullptr) flow->attempts.push_back({send.server, now, 0, false});
+    if (flow != nullptr) flow->attempts.push_back({send.server, now, 0, 0, false});
     return Report(Outcome{send.request, attempt, send.server, Result::kNotSent, true, 0, {}});
   }
   const std::size_t index = flow->attempts.size();
-  flow->attempts.push_back({send.server, now});
-  const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
-  const std::uint64_t number = hosts_.Start(
-      send.server, flow->http, until,
-      [this, id = send.request, index](Result result, HttpResponse response) {
-        Ended(id, index, result, std::move(response));
-      },
-      [this] { figures_.Tried(); });
+  const Millis timeout = send.timeout > 0 ? send.timeout : kMostUpload;
+  flow->attempts.push_back({send.server, now, timeout});
+  HostPool::Order order;
+  order.request = flow->http;
+  if (!flow->whole) order.rest = flow->rest;
+  order.deadline = flow->whole ? std::min(now + timeout, flow->leaves_at) : now + kMostUpload;
+  order.done = [this, id = send.request, index](Result result, HttpResponse response) {
+    Ended(id, index, result, std::move(response));
+  };
+  order.begun = [this, id = send.request, index](HttpResponse response, std::shared_ptr<BodySource> rest) {
+    Begun(id, index, std::move(response), std::move(rest));
+  };
+  order.passing = [this, id = send.request] {
+    if (Flow* const passing = Find(id)) passing->http.reset();
+  };
+  order.written = [this] { figures_.Tried(); };
+  const std::uint64_t number = hosts_.Start(send.server, std::move(order));
   flow->attempts[index].number = number;
 }
 
@@ -365,10 +416,10 @@
   return found == flows_.end() ? nullptr : &found->second;
 }
 
-void Gateway::Answer(Flow& flow, HttpResponse response) {
+void Gateway::Answer(Flow& flow, HttpResponse response, std::shared_ptr<BodySource> rest) {
   if (std::exchange(flow.answered, true)) return;
   flow.overdue.cancel();
-  std::exchange(flow.answer, nullptr)(std::move(response));
+  std::exchange(flow.answer, nullptr)(std::move(response), std::move(rest));
 }
 
 void Gateway::Settle(const std::string& id) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -44,7 +44,8 @@
  private:
   struct Attempt {
     std::string host;
-    Millis sent = 0;
+    Millis sent = 0;           // or when the request was whole, if that was later
+    Millis timeout = 0;        // from then on
     std::uint64_t number = 0;  // the pool's
     bool out = true;
   };
@@ -52,7 +53,10 @@
   struct Flow {
     explicit Flow(boost::asio::io_context& io) : overdue(io) {}
     std::shared_ptr<const HttpRequest> http;
-    std::function<void(HttpResponse)> answer;
+    std::shared_ptr<BodySource> rest;  // of the request, where it was not whole when it was taken
+    bool whole = true;                 // its last byte is there
+    Millis allowed = 0;                // from then on
+    std::function<void(HttpResponse, std::shared_ptr<BodySource>)> answer;
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
     std::vector<Attempt> attempts;
@@ -75,6 +79,9 @@
   void Take(ClientRequest request);
   void Told(const HostList& list);
   void ListFailed();
+  void Whole(const std::string& id, Millis at);
+  void Begun(const std::string& id, std::size_t attempt, HttpResponse response,
+             std::shared_ptr<BodySource> rest);
   void Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response);
   void Overdue(const std::string& id);
   std::string Manage(const std::string& call);
@@ -94,7 +101,8 @@
   void Do(const Log& log);
 
   Flow* Find(const std::string& id);
-  void Answer(Flow& flow, HttpResponse response);
+  void Answer(Flow& flow, HttpResponse response, std::shared_ptr<BodySource> rest = nullptr);
+  void SetDeadline(const std::string& id, Flow& flow, Millis gives_up);
   void Settle(const std::string& id);
 
   boost::asio::io_context& io_;
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -3,13 +3,17 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <cstdio>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "clock.hpp"
@@ -22,9 +26,18 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+constexpr Millis kStill = 30000;     // an answer that has begun must go on by then
+constexpr Millis kHoldUnsized = 50;  // an answer of no stated length is held for so long
+constexpr char kLineEnd[] = "\r\n";
 constexpr Millis kQuiet = 500;          // between two lines on resets
 constexpr double kIdleShare = 1.0 / 3;  // part of the hosts' idle limit after which a connection is closed
 
+std::string ChunkHead(std::size_t size) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%zx\r\n", size);
+  return text;
+}
+
 // Only 503 and 504 with Srv-Declined prove that a request never ran.
 Result ToResult(const HttpResponse& response) {
   const http::status status = response.result();
@@ -37,15 +50,12 @@
 }  // namespace
 
 // A connection, from its dial to its close. A read is always on, so that a close by the host is noticed while
-// the connection stands idle.
-class HostPool::Connection : public std::enable_shared_from_this<Connection> {
+// the connection stands idle. Of an answer that is too long to be held it is the source.
+class HostPool::Connection : public BodySource, public std::enable_shared_from_this<Connection> {
  public:
   struct Job {
     std::uint64_t attempt;
-    std::shared_ptr<const HttpRequest> request;
-    Millis deadline;
-    Done done;
-    HostPool::Written written;
+    Order order;
   };
 
   Connection(HostPool& pool, std::string host, tcp::endpoint address)
@@ -64,7 +74,7 @@
 
   void Dial(Job job) {
     Take(std::move(job));
-    Arm(std::min(job_->deadline, Now() + pool_.limits_.dial_timeout));
+    Arm(std::min(job_->order.deadline, Now() + pool_.limits_.dial_timeout));
     socket_.async_connect(address_, [self = shared_from_this()](error_code ec) {
       if (self->open_) self->Dialled(ec);
     });
@@ -72,10 +82,15 @@
 
   void Run(Job job) {
     Take(std::move(job));
-    Arm(job_->deadline);
+    Arm(job_->order.deadline);
     Write();
   }
 
+  void SetDeadline(Millis deadline) {
+    job_->order.deadline = deadline;
+    if (!passing_) Arm(deadline);
+  }
+
   // Whether the host has neither closed an idle connection nor sent anything on it. The pending read may not
   // have been told yet, so the socket itself is asked.
   bool Fresh() {
@@ -98,10 +113,22 @@
     timer_.cancel();
   }
 
+  // The answer's next piece.
+  void Next(Taken taken) override {
+    taken_ = std::move(taken);
+    if (!job_ || !passing_) return Break();
+    Arm(Now() + kStill);
+    ReadPiece();
+  }
+  void Drop() override {
+    if (job_ && passing_) End(Result::kCancelled);
+  }
+  bool begun() const override { return passing_; }
+
  private:
   void Take(Job job) {
     job_ = std::move(job);
-    written_ = broken_ = false;
+    written_ = broken_ = passing_ = last_ = false;
     ++uses_;
     taken_at_ = Now();
     pool_.active_[job_->attempt] = shared_from_this();
@@ -111,9 +138,22 @@
     if (!job_) return;
     const Job job = *std::exchange(job_, std::nullopt);
     pool_.active_.erase(job.attempt);
-    job.done(result, std::move(response));
+    Hold(0);
+    if (passing_ && taken_) Break();
+    passing_ = false;
+    job.order.done(result, std::move(response));
   }
 
+  // Whoever waits for a piece gets none.
+  void Break() {
+    asio::post(pool_.io_, [self = shared_from_this(), taken = std::exchange(taken_, nullptr)] {
+      taken(asio::error::connection_reset, {}, false);
+    });
+  }
+
+  // Counts what is held of an answer that is not whole.
+  void Hold(std::size_t bytes) { pool_.held_ = pool_.held_ - std::exchange(held_, bytes) + bytes; }
+
   void Arm(Millis until) {
     due_ = until;
     timer_.expires_after(Span(until - Now()));
@@ -135,16 +175,20 @@
     if (ec) return End(Result::kConnectFailed);
     // The dial took time: the host may have begun to drain, or may have moved.
     if (!pool_.MayUse(host_, address_)) return End(Result::kNotSent);
-    Arm(job_->deadline);
+    Arm(job_->order.deadline);
     Read();
     Write();
   }
 
   void Write() {
-    outgoing_ = *job_->request;
+    const Order& order = job_->order;
+    outgoing_ = {};
+    outgoing_.base() = order.request->base();
     StripHopByHop(outgoing_);
     outgoing_.version(11);
     outgoing_.keep_alive(true);
+    if (order.rest) return WriteHeld();
+    outgoing_.body() = order.request->body();
     outgoing_.prepare_payload();
     outgoing_.set("Req-Deadline", std::to_string(std::max<std::int64_t>(1, Left())) + "m");
     http::async_write(socket_, outgoing_,
@@ -153,12 +197,67 @@
                       });
   }
 
-  std::int64_t Left() const { return static_cast<std::int64_t>(job_->deadline - Now()); }
+  // A request that is not whole yet: its time begins with its last byte, so that it states what the client
+  // does.
+  void WriteHeld() {
+    const auto held = job_->order.request;
+    const bool sized = outgoing_.has_content_length();
+    if (!sized) outgoing_.chunked(true);
+    const auto head = std::make_shared<std::string>(HeadText(outgoing_));
+    if (!sized && !held->body().empty()) *head += ChunkHead(held->body().size());
+    const std::array<asio::const_buffer, 3> parts = {
+        asio::buffer(*head), asio::buffer(held->body()),
+        asio::buffer(kLineEnd, sized || held->body().empty() ? 0 : 2)};
+    asio::async_write(
+        socket_, parts,
+        [self = shared_from_this(), attempt = job_->attempt, head, held](error_code ec, std::size_t) {
+          if (!self->job_ || self->job_->attempt != attempt) return;
+          if (ec) return self->End(Result::kConnectFailed);
+          self->job_->order.request.reset();
+          if (self->job_->order.passing) self->job_->order.passing();
+          self->Pull();
+        });
+  }
+
+  void Pull() {
+    job_->order.rest->Next([self = shared_from_this(), attempt = job_->attempt](
+                               const error_code& ec, std::string_view piece, bool last) {
+      if (!self->job_ || self->job_->attempt != attempt || !self->open_) return;
+      if (ec) return self->End(Result::kCancelled);  // the client has not sent it all
+      self->WritePiece(piece, last);
+    });
+  }
+
+  void WritePiece(std::string_view piece, bool last) {
+    last_ = last;
+    const bool chunked = !outgoing_.has_content_length();
+    const auto frame = std::make_shared<std::string>();
+    if (chunked && !piece.empty()) *frame = ChunkHead(piece.size());
+    const std::string_view end = !chunked        ? ""
+                                 : piece.empty() ? "0\r\n\r\n"
+                                 : last          ? "\r\n0\r\n\r\n"
+                                                 : "\r\n";
+    if (last) {
+      *frame += piece;
+      piece = {};
+    }
+    const std::array<asio::const_buffer, 3> parts = {
+        asio::buffer(*frame), asio::buffer(piece.data(), piece.size()),
+        asio::buffer(end.data(), piece.empty() && !last ? 0 : end.size())};
+    asio::async_write(
+        socket_, parts,
+        [self = shared_from_this(), attempt = job_->attempt, frame](error_code ec, std::size_t) {
+          if (!self->job_ || self->job_->attempt != attempt) return;
+          self->last_ || ec ? self->Written(ec) : self->Pull();
+        });
+  }
+
+  std::int64_t Left() const { return static_cast<std::int64_t>(job_->order.deadline - Now()); }
 
   void Written(error_code ec) {
     if (ec) return End(Result::kConnectFailed);  // its last byte never left: it can't have run
     written_ = true;
-    if (job_->written) job_->written();
+    if (job_->order.written) job_->order.written();
     if (broken_) Broken(asio::error::connection_reset);
   }
 
@@ -183,44 +282,109 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
     // The head first: where Boost 1.74 reads head and body in one go, it lets a Content-Length over the limit
-    // pass, takes memory for all of it, and reads on.
+    // pass, and reads on.
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
-                              if (self->open_) self->ReadBody(ec);
+                              if (self->open_) self->GotHead(ec);
                             });
   }
 
-  void ReadBody(error_code ec) {
-    if (!ec && parser_->content_length().value_or(0) > kMostBody) ec = http::error::body_limit;
-    if (ec || !job_ || !written_) return Received(ec);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code body_ec, std::size_t) {
-                       if (self->open_) self->Received(body_ec);
-                     });
-  }
-
-  void Received(error_code ec) {
+  void GotHead(error_code ec) {
     if (!job_) {  // closed, or spoken on unasked, while idle
       pool_.Forget(host_, this);
       return Close();
     }
-    if (!written_) {  // whether it may have run depends on how the write ends
+    const auto& head = parser_->get();
+    // "100 Continue" and its like only announce the answer. A switch of protocols was never asked for.
+    if (!ec && head.result_int() / 100 == 1 && head.result() != http::status::switching_protocols) {
+      return Read();
+    }
+    if (!written_) return TooEarly(ec);
+    if (!ec && parser_->content_length().value_or(0) > kMostBody) ec = http::error::body_limit;
+    if (ec) return Broken(ec);
+    head_at_ = Now();
+    answer_ = {};
+    answer_.base() = head.base();
+    const bool served = head.result() == http::status::ok;
+    if (served && parser_->content_length().value_or(0) > kMostHeld) return Pass();
+    ReadPiece();
+  }
+
+  // The host spoke, or ended the connection, before it had the whole request. Where all of that is held,
+  // whether it may have run depends on how the write ends.
+  void TooEarly(error_code ec) {
+    if (!job_->order.rest || last_) {
       broken_ = true;
       return;
     }
+    if (ec) return End(Result::kConnectFailed);
+    HttpResponse answer;
+    answer.base() = parser_->get().base();
+    const Result result = ToResult(answer);
+    End(result == Result::kServed ? Result::kError : result);  // it can't be the answer to all of it
+  }
+
+  void ReadPiece() {
+    if (parser_->is_done()) return GotPiece({}, 0);
+    piece_.resize(kPiece);
+    buffer_.reserve(passing_ ? kPiece : kPiece / 4);  // else it reads half a KiB at a time
+    auto& body = parser_->get().body();
+    body.data = piece_.data();
+    body.size = piece_.size();
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this(), attempt = job_->attempt](error_code ec, std::size_t) {
+                            if (!self->open_ || !self->job_ || self->job_->attempt != attempt) return;
+                            if (ec == http::error::need_buffer) ec = {};
+                            self->GotPiece(ec, kPiece - self->parser_->get().body().size);
+                          });
+  }
+
+  void GotPiece(error_code ec, std::size_t got) {
     if (ec) return Broken(ec);
-    HttpResponse response = parser_->release();
-    // "100 Continue" and its like only announce the answer. A switch of protocols was never asked for.
-    if (response.result_int() / 100 == 1 && response.result() != http::status::switching_protocols) {
-      return Read();
+    const bool last = parser_->is_done();
+    if (passing_) return Give(got, last);
+    answer_.body().append(piece_.data(), got);
+    if (last) return Answered();
+    Hold(answer_.body().size());
+    // An answer of no stated length may turn out a long one, whose first bytes count.
+    const bool long_one = answer_.body().size() > kMostHeld || pool_.held_ > pool_.limits_.held ||
+                          (!parser_->content_length() && Now() - head_at_ > kHoldUnsized);
+    if (!long_one) return ReadPiece();
+    if (answer_.result() == http::status::ok) return Pass();
+    End(ToResult(answer_));  // an error is told by its head
+  }
+
+  // The answer goes out as it comes from here on, and to its end.
+  void Pass() {
+    passing_ = true;
+    Hold(0);
+    Arm(Now() + kStill);
+    const auto begun = job_->order.begun;
+    begun(std::exchange(answer_, {}), shared_from_this());
+  }
+
+  void Give(std::size_t got, bool last) {
+    if (got == 0 && !last) return ReadPiece();
+    const auto taken = std::exchange(taken_, nullptr);
+    if (!last) {
+      Arm(Now() + kStill);
+      return asio::post(pool_.io_, [self = shared_from_this(), taken, got] {
+        taken({}, {self->piece_.data(), got}, false);
+      });
     }
-    const bool reusable = response.keep_alive() && buffer_.size() == 0 && pool_.MayUse(host_, address_);
+    // Posted before the outcome is told, with the piece its own: the connection may be used again by then.
+    asio::post(pool_.io_,
+               [piece = std::make_shared<std::vector<char>>(std::exchange(piece_, {})), taken, got] {
+                 taken({}, {piece->data(), got}, true);
+               });
+    Reuse();
+    Finish(Result::kServed, {});
+  }
+
+  void Answered() {
+    HttpResponse response = std::exchange(answer_, {});
     // Back to the pool before the outcome is told, for it may lead to the next send.
-    if (reusable) {
-      Rest();
-    } else {
-      Close();
-    }
+    Reuse();
     const Result result = ToResult(response);
     if (result == Result::kError && Now() >= pool_.quiet_until_) {
       pool_.quiet_until_ = Now() + kQuiet;
@@ -229,9 +393,19 @@
     Finish(result, std::move(response));
   }
 
+  void Reuse() {
+    if (parser_->keep_alive() && buffer_.size() == 0 && pool_.MayUse(host_, address_)) {
+      Rest();
+    } else {
+      Close();
+    }
+  }
+
   void Rest() {
     rests_at_ = Now();
     outgoing_ = {};  // here its write has ended, unlike where an attempt is given up
+    piece_ = {};
+    buffer_.shrink_to_fit();
     Read();
     Arm(Now() + pool_.limits_.idle_timeout * kIdleShare);
     pool_.hosts_[host_].idle.push_back(shared_from_this());
@@ -244,12 +418,19 @@
   asio::steady_timer timer_;
   Millis due_ = 0;
   boost::beast::flat_buffer buffer_{2 * kMostHeader};  // unparsed bytes: a header, or the head of a chunk
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::vector<char> piece_;
+  HttpResponse answer_;  // as far as it is held
+  Taken taken_;          // who waits for a piece of it
+  Millis head_at_ = 0;
+  std::size_t held_ = 0;
   HttpRequest outgoing_;
   std::optional<Job> job_;
   bool open_ = false;
   bool written_ = false;  // all of the request
   bool broken_ = false;   // before it was known to be written
+  bool last_ = false;     // the last piece of the request is being written
+  bool passing_ = false;  // the answer goes out as it comes
   int uses_ = 0;          // requests it was given
   Millis taken_at_ = 0, rests_at_ = 0;
 };
@@ -272,16 +453,15 @@
   std::erase_if(hosts_, [](const auto& entry) { return !entry.second.up; });
 }
 
-std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
-                              Millis deadline, Done done, Written written) {
+std::uint64_t HostPool::Start(const std::string& host, Order order) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
-  if (found == hosts_.end() || Now() >= deadline) {
+  if (found == hosts_.end() || Now() >= order.deadline) {
     ++counts_.unusable;
-    done(Result::kNotSent, {});
+    order.done(Result::kNotSent, {});
     return attempt;
   }
-  Connection::Job job{attempt, std::move(request), deadline, std::move(done), std::move(written)};
+  Connection::Job job{attempt, std::move(order)};
   auto& idle = found->second.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
@@ -296,7 +476,7 @@
   }
   if (connections_ >= limits_.connections && !EvictIdle()) {
     ++counts_.unusable;
-    job.done(Result::kNotSent, {});
+    job.order.done(Result::kNotSent, {});
     return attempt;
   }
   const auto connection = std::make_shared<Connection>(*this, host, found->second.address);
@@ -305,11 +485,16 @@
     connection->Dial(std::move(job));
   } else {
     ++counts_.unusable;
-    job.done(Result::kNotSent, {});
+    job.order.done(Result::kNotSent, {});
   }
   return attempt;
 }
 
+void HostPool::SetDeadline(std::uint64_t attempt, Millis deadline) {
+  const auto found = active_.find(attempt);
+  if (found != active_.end()) found->second->SetDeadline(deadline);
+}
+
 void HostPool::Cancel(std::uint64_t attempt) {
   const auto found = active_.find(attempt);
   if (found == active_.end()) return;
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "body.hpp"
 #include "discovery.hpp"
 #include "http_types.hpp"
 #include "opalswitch/policy.hpp"
@@ -23,14 +24,23 @@
  public:
   struct Limits {
     Millis dial_timeout = 250;
-    Millis idle_timeout = 15000;    // hosts close connections that stood idle for this long
-    std::size_t connections = 256;  // over all hosts
+    Millis idle_timeout = 15000;          // hosts close connections that stood idle for this long
+    std::size_t connections = 256;        // over all hosts
+    std::size_t held = 16 * 1024 * 1024;  // bytes of answers that are not whole yet, over all
+  };
+  // An attempt, and what is told of it. Both ends may be told before Start returns.
+  struct Order {
+    std::shared_ptr<const HttpRequest> request;  // the body as far as it is held
+    std::shared_ptr<BodySource> rest;            // what follows; the request's last byte is that of this
+    Millis deadline = 0;
+    // How it ended, once; the answer is that of the host, if there was one and it was held.
+    std::function<void(Result, HttpResponse)> done;
+    // A served answer that is too long to be held has begun: its head, what is there of its body, and the
+    // rest.
+    std::function<void(HttpResponse, std::shared_ptr<BodySource>)> begun;
+    std::function<void()> passing;  // all that is held was written, and the rest follows
+    std::function<void()> written;  // the request's last byte was
   };
-  // How an attempt ended; the answer is that of the host, if there was one. Called once for each Start,
-  // perhaps before Start returns.
-  using Done = std::function<void(Result, HttpResponse)>;
-  // Called when an attempt's last byte is written.
-  using Written = std::function<void()>;
 
   HostPool(boost::asio::io_context& io, Limits limits);
 
@@ -39,8 +49,9 @@
   void Update(const HostList& list);
 
   // Sends the request unless the host is not to be used any more. Returns a number for Cancel.
-  std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request, Millis deadline,
-                      Done done, Written written = {});
+  std::uint64_t Start(const std::string& host, Order order);
+  // Another time by which an attempt has to be answered.
+  void SetDeadline(std::uint64_t attempt, Millis deadline);
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt);
 
@@ -74,6 +85,7 @@
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
   std::size_t connections_ = 0;
+  std::size_t held_ = 0;  // bytes of answers that are not whole yet
   Counts counts_;
   Millis quiet_until_ = 0;  // no line on a reset is logged before
   std::uint64_t next_attempt_ = 1;
--- a/src/gateway/http_types.hpp
+++ b/src/gateway/http_types.hpp
@@ -4,14 +4,18 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <sstream>
+#include <string>
 
 namespace opalswitch::gateway {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-constexpr std::uint64_t kMostBody = 64 * 1024;
+constexpr std::uint64_t kMostBody = 32 * 1024 * 1024;
+constexpr std::size_t kMostHeld = 64 * 1024;  // of a body, whole: what is longer passes through in pieces
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 
 // Takes out what concerns one connection alone, and so must not be passed on. Framing is set anew.
@@ -24,6 +28,14 @@
   }
 }
 
+// A message's first line and fields, with the empty line behind them.
+template <typename Message>
+std::string HeadText(const Message& message) {
+  std::ostringstream text;
+  text << message.base();
+  return text.str();
+}
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -615,7 +615,25 @@
     attempt.may_have_run =
         o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
     Backend& b = *attempt.server;
+    flow.held = o.held;
+    if (attempt.streaming) {  // judged by its begin; an answer that broke off counts against the server still
+      if (o.result == Result::kReset || o.result == Result::kTimedOut) {
+        o.result = Result::kReset;
+        o.latency = 0;
+        Judge(b, flow, o);
+      }
+      return Settle(flow);
+    }
     --b.in_flight;
+    Heard(flow, attempt, o);
+    if (o.finished || o.result == Result::kServed) flow.answered = true;
+    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o.result);
+    Settle(flow);
+  }
+
+  // What an outcome tells of the class, of the rate and of the server.
+  void Heard(const Flow& flow, const Attempt& attempt, const Outcome& o) {
+    Backend& b = *attempt.server;
     ++counts_.outcomes[static_cast<int>(o.result)];
     counts_.slow += o.result == Result::kServed && now_ > flow.aim_at;
     if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
@@ -624,9 +642,6 @@
       Hear(b, o.load);
       Judge(b, flow, o);
     }
-    if (o.finished || o.result == Result::kServed) flow.answered = true;
-    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o.result);
-    Settle(flow);
   }
 
   void LearnClass(Tier& c, Millis latency) {
@@ -640,7 +655,7 @@
     const bool legal = flow.NeverRan() || c.effect != Effect::kUnsafe;
     const bool heavy = result == Result::kTimedOut && !flow.attempts.back().server->suspect;
     const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
-    const bool more = static_cast<int>(flow.attempts.size()) < set_.max_attempts;
+    const bool more = static_cast<int>(flow.attempts.size()) < set_.max_attempts && flow.held;
     if (!legal || heavy || !in_time || !more || retry_budget_ < 1) {
       ++counts_.spoiled;
       return Answer(flow);
@@ -683,8 +698,29 @@
     Settle(flow);
   }
 
-  void On(const StreamStarted& s) {  // the client owns it now; its outcome is still awaited
-    if (Flow* const flow = Find(s.request)) flow->answered = true;
+  // The client owns it now, and the server has done its work: what was to be learned is there. Its outcome,
+  // that of a transfer, is still awaited.
+  void On(const StreamStarted& s) {
+    Flow* const flow = Find(s.request);
+    if (flow == nullptr) return;
+    flow->answered = true;
+    if (s.attempt < 0 || s.attempt >= static_cast<int>(flow->attempts.size())) return;
+    Attempt& attempt = flow->attempts[s.attempt];
+    if (!attempt.out || std::exchange(attempt.streaming, true)) return;
+    --attempt.server->in_flight;
+    Heard(*flow, attempt,
+          {s.request, s.attempt, attempt.server->info.id, Result::kServed, true, now_ - attempt.sent, {}});
+  }
+
+  void On(const RequestWhole& whole) {
+    Flow* const flow = Find(whole.request);
+    if (flow == nullptr || flow->answered) return;
+    flow->arrived = now_;
+    flow->leaves_at = now_ + (std::isfinite(whole.time_left) ? std::max(0.0, whole.time_left) : 0.0);
+    flow->aim_at = std::min(now_ + classes_[flow->cls].set.aim, flow->leaves_at);
+    for (Attempt& a : flow->attempts) {
+      if (a.out) a.sent = now_;
+    }
   }
 
   void On(const TimerDue&) { Sweep(); }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -83,6 +83,7 @@
   Millis sent;
   bool out = true;
   bool may_have_run = true;
+  bool streaming = false;  // its answer has begun: what is left is its end
 };
 
 // A request that the gateway has taken, until it is answered and all its attempts have ended.
@@ -94,6 +95,7 @@
   bool in_share = true;
   bool answered = false;
   bool queued = false;
+  bool held = true;  // could be sent again
   std::vector<Attempt> attempts;
 
   bool AnyOut() const {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1044,5 +1044,57 @@
   EXPECT_EQ(sent, 0);
 }
 
+// Guards a long request that broke on its way: once it can't be sent again there is no other attempt.
+TEST(Bodies, AreNotSentAgainOnceTheyPassedThrough) {
+  for (const bool held : {true, false}) {
+    Gateway g;
+    g.Servers(2);
+    g.Serve(100, 50);
+    const std::string server = Gateway::SentTo(g.Ask("r", "pay"));
+    const auto actions = g.Do(Outcome{"r", 0, server, Result::kConnectFailed, false, 0, {}, held});
+    EXPECT_EQ(Gateway::Count<Send>(actions), held ? 1 : 0);
+    EXPECT_EQ(Gateway::Count<Refuse>(actions), held ? 0 : 1);  // it never ran
+  }
+}
+
+// Guards the rate against slow clients: a long request's time begins with its last byte, a long answer is in
+// time by its first, and neither the way in nor the way out is taken for the server's work.
+TEST(Bodies, AreTimedWithoutTheirTransfer) {
+  Gateway g;
+  g.Servers(2);
+  g.Serve(100, 50);
+  const Learned before = g.policy.Remember();
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id, "view", 2000));
+    ASSERT_FALSE(server.empty());
+    g.Pass(3000);  // the client sends
+    g.Do(RequestWhole{id, 2000});
+    g.Pass(50);
+    g.Do(StreamStarted{id, 0});
+    g.Pass(5000);  // the client reads
+    g.Do(Outcome{id, 0, server, Result::kServed, true, 5050, {}});
+  }
+  const Learned after = g.policy.Remember();
+  EXPECT_GE(after.rate, before.rate);
+  for (const auto& s : after.servers) EXPECT_LT(s.latency, 100);
+}
+
+// Guards the other side of it: answers that break off on their way count against their server.
+TEST(Bodies, ThatBreakOffMakeTheirServerSuspect) {
+  Gateway g;
+  g.Servers(2);
+  g.Serve(100, 50);
+  for (int i = 0; i < 200 && g.policy.avoided() == 0; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id));
+    g.Pass(50);
+    g.Do(StreamStarted{id, 0});
+    g.Pass(1500);  // nothing else was served meanwhile
+    g.Do(Outcome{id, 0, server, Result::kReset, true, 1550, {}});
+  }
+  EXPECT_GT(g.policy.avoided(), 0u);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
