Let unfinished requests give way in a crowd

A connection with part of a head kept its place for 2.7 s, for only resting ones made room (client_server.cpp, EvictIdle): 200 descriptors let some 40 such peers a second keep everyone out. The oldest unfinished one gives way now, after 250 ms at the least, and accepting looks again every 20 ms where nobody can give way yet.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -41,6 +41,9 @@
 constexpr Millis kShedAfter = 500;       // into a drain: the front has stopped by then
 constexpr Millis kShedRest = 300;        // a connection that is no older may have a request on its way
 constexpr Millis kShedPartial = 1700;    // into a drain: what was begun and is not whole by then is refused
+constexpr Millis kRoomAgain = 20;        // from one look for a place to the next
+constexpr Millis kLeastRest = 50;        // what a connection gets to send in, however many wait for its place
+constexpr Millis kLeastPartial = 250;    // what an unfinished head gets, however many wait for its place
 constexpr Millis kAcceptAgain = 50;      // after an accept that failed, out of descriptors perhaps
 constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
 constexpr std::size_t kMostBuffer = 2 * kMostHeader;  // unparsed bytes: a header, or the head of a chunk
@@ -96,6 +99,11 @@
     error_code ec;
     return Resting() && socket_.available(ec) == 0;
   }
+  // Some of a request's head has come, and no more of it is there.
+  bool Unfinished() {
+    error_code ec;
+    return phase_ == Phase::kReading && reading_ && !in_body_ && socket_.available(ec) == 0;
+  }
   Millis since() const { return since_; }
 
   void Close() {
@@ -562,21 +570,25 @@
 
 void ClientServer::Accept() {
   if (accepting_ || !acceptor_.is_open()) return;
+  // With all places taken by requests under way, further clients wait in the kernel's queue.
+  if (Full() && !EvictIdle()) return AcceptLater(kRoomAgain);
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
     if (!acceptor_.is_open()) return;
     if (!ec) {
       Accepted(std::move(socket));
-      // With all places taken by requests under way, further clients wait in the kernel's queue.
-      if (!Full() || EvictIdle()) Accept();
-      return;
+      return Accept();
     }
     if (ec == asio::error::no_descriptors) EvictIdle();
-    accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
-    accept_again_.async_wait([this](error_code wait_ec) {
-      if (!wait_ec) Accept();
-    });
+    AcceptLater(kAcceptAgain);  // at once would spin
+  });
+}
+
+void ClientServer::AcceptLater(Millis time) {
+  accept_again_.expires_after(Span(time));
+  accept_again_.async_wait([this](error_code ec) {
+    if (!ec) Accept();
   });
 }
 
@@ -592,12 +604,16 @@
   if (!Full()) Accept();
 }
 
-// Closes the connection that has been between requests for longest.
+// Makes room: closes the connection that has been between requests for longest, or else the one that has kept
+// its request unfinished for longest. A crowd of those must not keep out whoever sends a request whole.
 bool ClientServer::EvictIdle() {
-  std::shared_ptr<Session> oldest;
+  std::shared_ptr<Session> oldest, slowest;
+  const Millis now = Now(), rests = now - kLeastRest, begun = now - kLeastPartial;
   for (const auto& session : sessions_) {
-    if ((!oldest || session->since() < oldest->since()) && session->Idle()) oldest = session;
+    if (session->since() < (oldest ? oldest->since() : rests) && session->Idle()) oldest = session;
+    if (session->since() < (slowest ? slowest->since() : begun) && session->Unfinished()) slowest = session;
   }
+  if (!oldest) oldest = slowest;
   if (oldest) oldest->Close();
   return oldest != nullptr;
 }
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -77,6 +77,7 @@
  private:
   class Session;
   void Accept();
+  void AcceptLater(Millis time);
   void Accepted(boost::asio::ip::tcp::socket socket, bool adopted = false);
   void Closed(const std::shared_ptr<Session>& session);
   bool Full() const { return sessions_.size() >= most_sessions_; }
