Know how long the spent rate has looked before a cut goes by it

Ruled out: hosts (none failing, latency 25 ms), places (69 free), descriptors (clients 100 of 101, but requests were taken), the crowd's connections (1192 were given up in the queue, not at the door). At fault: MoveRate cuts to a part of the spent rate, which is smoothed over 1 s from 0 on, so it shows a third of what is sent at 0.4 s. Spent() now divides by the part of that memory which has passed, also for the queues' bound and the advice to clients; a replacement takes the figure over.

The test was seen to fail without it.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -191,7 +191,7 @@
     bool suspect = false, lost = false;
     Millis cold_since = 0;
   };
-  double rate = 0, failing = 0, mean_latency = 0, warm_served = 0, warm_time = 0;
+  double rate = 0, spent = 0, failing = 0, mean_latency = 0, warm_served = 0, warm_time = 0;
   int samples = 0;
   std::vector<Class> classes;
   std::vector<Server> servers;
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -127,6 +127,7 @@
   return json{{"list", json::parse(ToText(estate.list))},
 
               {"rate", l.rate},
+              {"spent", l.spent},
               {"failing", l.failing},
               {"mean_latency", l.mean_latency},
               {"warm_served", l.warm_served},
@@ -146,6 +147,7 @@
     estate.list = *list;
     Learned& l = estate.learned;
     all.at("rate").get_to(l.rate);
+    all.at("spent").get_to(l.spent);
     all.at("failing").get_to(l.failing);
     all.at("mean_latency").get_to(l.mean_latency);
     all.at("warm_served").get_to(l.warm_served);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -61,6 +61,7 @@
 constexpr Millis kAskGap = 100;         // ms before a failed list call is made again; doubles
 constexpr Millis kDoubt = 500;          // ms of each server's time that a first few answers are spread over
 constexpr Millis kSpentMemory = 1000;   // ms over which the spent rate is smoothed
+constexpr double kLeastSpent = 0.05;    // part of that memory below which a rate can't be told yet
 constexpr Millis kLongMemory = 10000;   // ms, the same where a few requests a second must give a rate
 constexpr double kFailMemory =
     0.05;  // least weight of an outcome in the fleet's failing share; else about a second's
@@ -101,7 +102,7 @@
   }
 
   Learned Remember() const {
-    Learned all{rate_, failing_, mean_latency_, warm_served_, warm_time_, samples_, {}, {}};
+    Learned all{rate_, Spent(), failing_, mean_latency_, warm_served_, warm_time_, samples_, {}, {}};
     for (const Tier& c : classes_) all.classes.push_back({c.set.name, c.latency, c.samples, c.most_left});
     for (const auto& [id, b] : servers_) {
       if (!b.up) continue;
@@ -115,6 +116,8 @@
     Refill(now);
     if (all.rate > 0) rate_ = all.rate;
     tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
+    spent_rate_ = all.spent;
+    spent_part_ = 1;
     failing_ = all.failing;
     mean_latency_ = all.mean_latency;
     samples_ = all.samples;
@@ -163,6 +166,7 @@
     rate_ = std::clamp(rate_ * part, 1.0 * up_ / set_.gateways, kStartRate * std::max(1, up_));
     tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
     warm_served_ *= part;
+    spent_rate_ *= part;
     for (auto& [id, b] : servers_) {
       b.limit = std::max(LeastLimit(), b.limit * part);
       b.places = std::max(1.0, std::floor(b.limit));
@@ -455,10 +459,16 @@
     if (first) rate_ = kStartRate * up_;
     const double full = std::max(2.0, rate_ * kBurst / 1000);
     tokens_ = first ? full : std::min(tokens_ + rate_ * passed / 1000, full);
-    spent_rate_ *= std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
+    const double kept = std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
+    spent_rate_ *= kept;
+    spent_part_ = 1 - kept * (1 - spent_part_);
     arriving_ *= std::exp(-passed / kLongMemory);
   }
 
+  // Tokens spent a second. What the smoothing has not seen yet counts for nothing: a process that has sent
+  // for a tenth of a second would pass for one that hardly sends, and a cut would leave it next to no rate.
+  double Spent() const { return spent_rate_ / std::max(spent_part_, kLeastSpent); }
+
   // Failures that one server explains eject it; only those of servers held ready move the rate. A broken
   // connection tells nothing of load: one that can't take more rejects, is late, or fails to connect.
   void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome, Millis sent) {
@@ -471,7 +481,7 @@
       rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
     } else if (!timely && failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) &&
                now_ >= cut_after_) {
-      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, spent_rate_) * kCut);
+      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
       cut_at_ = now_;
       cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
       Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
@@ -531,7 +541,7 @@
 
   void Enqueue(Flow& flow) {
     Tier& c = classes_[flow.cls];
-    const double most = spent_rate_ * c.set.aim / 1000 + 32;  // more can't be served in time
+    const double most = Spent() * c.set.aim / 1000 + 32;  // more can't be served in time
     if (static_cast<double>(c.Size()) >= most) {
       ++counts_.full;
       if (!flow.in_share || c.over_share.empty()) return Answer(flow);
@@ -676,7 +686,7 @@
 
   Millis RetryAfter() const {
     if (!set_.retry_after) return 0;
-    return std::min(set_.max_retry_after, 1000 * static_cast<double>(queued_) / std::max(spent_rate_, 1.0));
+    return std::min(set_.max_retry_after, 1000 * static_cast<double>(queued_) / std::max(Spent(), 1.0));
   }
 
   // Forgets a request that is answered and has nothing out. `flow` may be gone afterwards.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1096,5 +1096,28 @@
   EXPECT_GT(g.policy.avoided(), 0u);
 }
 
+// Guards the first second of a process: a cut leaves the rate near what was sent, though that was not sent
+// for long.
+TEST(Rate, IsNotCutToNothingByAYoungProcess) {
+  Gateway g;
+  g.Servers(9);
+  std::deque<std::pair<std::string, std::string>> out;
+  bool cut = false;
+  for (int i = 0; i < 100 && !cut; ++i) {  // 200 a second, each answered after its aim
+    const std::string id = "r" + std::to_string(i);
+    out.push_back({id, Gateway::SentTo(g.Ask(id))});
+    ASSERT_FALSE(out.back().second.empty());
+    g.now += 5;
+    if (out.size() > 10) {
+      cut = Gateway::Logged(g.End(out.front().first, out.front().second, Result::kTimedOut, 50), "rate cut");
+      out.pop_front();
+    }
+  }
+  ASSERT_TRUE(cut);
+  EXPECT_LT(g.now, 1400);
+  EXPECT_GT(g.policy.Remember().rate, 120);
+  EXPECT_LT(g.policy.Remember().rate, 220);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
