Let the most silent unfinished request give way, and give up a host that takes nothing in

The one that has been silent for longest goes now, in head or body. In review, two waits without an end: a host that takes in nothing of a long request held it for the time of a whole upload (20 min), now 5 s; a peer that drips on behind an error held its place as long as it liked, now 6 s.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -38,12 +38,13 @@
 constexpr double kBodyRate = 32;         // bytes/ms: half of what slow clients send
 constexpr Millis kUnread = 10000;        // a piece of an answer must have been taken in by then
 constexpr Millis kLinger = 1000;         // a client that was told of the close gets this to close first
+constexpr Millis kMostLinger = 6000;     // the same for one that goes on sending meanwhile
 constexpr Millis kShedAfter = 500;       // into a drain: the front has stopped by then
 constexpr Millis kShedRest = 300;        // a connection that is no older may have a request on its way
 constexpr Millis kShedPartial = 1700;    // into a drain: what was begun and is not whole by then is refused
 constexpr Millis kRoomAgain = 20;        // from one look for a place to the next
 constexpr Millis kLeastRest = 50;        // what a connection gets to send in, however many wait for its place
-constexpr Millis kLeastPartial = 1000;   // what an unfinished head gets, however many wait for its place
+constexpr Millis kLeastPartial = 1000;   // of silence in a request before it gives way to others
 constexpr Millis kAcceptAgain = 50;      // after an accept that failed, out of descriptors perhaps
 constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
 constexpr std::size_t kMostBuffer = 2 * kMostHeader;  // unparsed bytes: a header, or the head of a chunk
@@ -99,11 +100,13 @@
     error_code ec;
     return Resting() && socket_.available(ec) == 0;
   }
-  // Some of a request's head has come, and no more of it is there.
+  // Some of a request has come, and no more of it is there.
   bool Unfinished() {
     error_code ec;
-    return phase_ == Phase::kReading && reading_ && !in_body_ && socket_.available(ec) == 0;
+    return phase_ == Phase::kReading && reading_ && socket_.available(ec) == 0;
   }
+  // Since when nothing of it has come, as far as that was seen.
+  Millis quiet_since() const { return std::max(since_, in_body_ ? asked_at_ : quiet_since_); }
   Millis since() const { return since_; }
 
   void Close() {
@@ -137,6 +140,7 @@
       // begin after a long rest, and counts from when it was first seen.
       const bool begun = !Resting();
       if (!begun && turn_ > 0) begun_at_ = now;
+      if (std::exchange(seen_, buffer_.size()) != buffer_.size()) quiet_since_ = now;
       if (begun && (in_body_ ? BodyStands(now) : now - begun_at_ > kPartial)) return Late();
       if (server_.drains_since_) {
         const Millis drained = now - *server_.drains_since_;
@@ -149,7 +153,7 @@
     } else if (phase_ == Phase::kWaiting) {
       if (in_body_ && asked_ && BodyStands(now)) Late();
     } else if ((phase_ == Phase::kWriting && writing_ && age > kUnread) ||
-               (phase_ == Phase::kLingering && age > kLinger)) {
+               (phase_ == Phase::kLingering && (age > kLinger || now - begun_at_ > kMostLinger))) {
       Close();
     }
   }
@@ -227,6 +231,7 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
     in_body_ = begun_ = false;
+    quiet_since_ = Now();
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
                               if (self->phase_ == Phase::kReading) self->GotHead(ec);
@@ -525,6 +530,8 @@
   std::string frame_;                 // goes out before the piece that is written
   std::size_t charged_ = 0;           // bytes held of a body, as counted
   std::uint64_t body_got_ = 0, discarded_ = 0;
+  std::size_t seen_ = 0;  // unparsed bytes at the last sweep
+  Millis quiet_since_ = 0;
   Millis body_at_ = 0, asked_at_ = 0, waited_ = 0;  // when the body began; the time that it was waited for
   bool in_body_ = false;                            // the head is read, the body not to its end
   bool asked_ = false;                              // the client is waited for
@@ -604,14 +611,17 @@
   if (!Full()) Accept();
 }
 
-// Makes room: closes the connection that has been between requests for longest, or else the one that has kept
-// its request unfinished for longest. A crowd of those must not keep out whoever sends a request whole.
+// Makes room: closes the connection that has been between requests for longest, or else the one that has been
+// silent in the middle of its request for longest. A crowd of those must not keep out whoever sends a request
+// whole.
 bool ClientServer::EvictIdle() {
   std::shared_ptr<Session> oldest, slowest;
   const Millis now = Now(), rests = now - kLeastRest, begun = now - kLeastPartial;
   for (const auto& session : sessions_) {
     if (session->since() < (oldest ? oldest->since() : rests) && session->Idle()) oldest = session;
-    if (session->since() < (slowest ? slowest->since() : begun) && session->Unfinished()) slowest = session;
+    if (session->quiet_since() < (slowest ? slowest->quiet_since() : begun) && session->Unfinished()) {
+      slowest = session;
+    }
   }
   if (!oldest) oldest = slowest;
   if (oldest) oldest->Close();
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -27,6 +27,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr Millis kStill = 30000;     // an answer that has begun must go on by then
+constexpr Millis kHostStill = 5000;  // a host must have taken in a piece of a request by then
 constexpr Millis kHoldUnsized = 50;  // an answer of no stated length is held for so long
 constexpr char kLineEnd[] = "\r\n";
 constexpr Millis kQuiet = 500;          // between two lines on resets
@@ -203,6 +204,7 @@
     const auto held = job_->order.request;
     const bool sized = outgoing_.has_content_length();
     if (!sized) outgoing_.chunked(true);
+    Arm(std::min(job_->order.deadline, Now() + kHostStill));
     const auto head = std::make_shared<std::string>(HeadText(outgoing_));
     if (!sized && !held->body().empty()) *head += ChunkHead(held->body().size());
     const std::array<asio::const_buffer, 3> parts = {
@@ -220,6 +222,7 @@
   }
 
   void Pull() {
+    Arm(job_->order.deadline);  // the client is watched by who reads from it
     job_->order.rest->Next([self = shared_from_this(), attempt = job_->attempt](
                                const error_code& ec, std::string_view piece, bool last) {
       if (!self->job_ || self->job_->attempt != attempt || !self->open_) return;
@@ -230,6 +233,7 @@
 
   void WritePiece(std::string_view piece, bool last) {
     last_ = last;
+    Arm(std::min(job_->order.deadline, Now() + kHostStill));
     const bool chunked = !outgoing_.has_content_length();
     const auto frame = std::make_shared<std::string>();
     if (chunked && !piece.empty()) *frame = ChunkHead(piece.size());
@@ -257,6 +261,7 @@
   void Written(error_code ec) {
     if (ec) return End(Result::kConnectFailed);  // its last byte never left: it can't have run
     written_ = true;
+    if (job_->order.rest) Arm(job_->order.deadline);
     if (job_->order.written) job_->order.written();
     if (broken_) Broken(asio::error::connection_reset);
   }
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -336,5 +336,27 @@
   EXPECT_EQ(world.Vars()["active"], 0);
 }
 
+// Guards clients against a host that hangs while it is sent a long request: it never ran, and is told so long
+// before the connection would end by itself.
+TEST(Bodies, AreGivenUpWhereTheHostTakesNothingIn) {
+  World world;
+  world.host().deaf = true;
+  const auto client = world.Connect();
+  client->Send(ApiCall("r1", "pay", "20000m", Body(32 * 1024 * 1024)));
+  EXPECT_EQ(client->Await().result_int(), 503u);
+}
+
+// Guards the places against a peer that was told of its error and drips on.
+TEST(Bodies, BehindAnErrorAreNotReadForEver) {
+  World world;
+  const auto peer = world.Connect();
+  peer->Send("POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n");
+  EXPECT_EQ(peer->Await().result_int(), 400u);
+  EXPECT_TRUE(RunUntil(world.io, [&] {
+    peer->Send("x");
+    return peer->refused();
+  }));
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -535,23 +535,27 @@
   EXPECT_LE(closed, 46u);
 }
 
-// Guards the same against a crowd that never sends a whole request: the oldest give way, long before each has
-// been given its time, to whoever sends one.
+// Guards the same against a crowd that never sends a whole request, in its head or in its body: the most
+// silent give way, long before each has been given its time, to whoever sends one.
 TEST(Gateway, ServesThroughAFloodOfHalfRequests) {
-  World world(1, TestSettings(), 200);
-  world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
-  std::vector<std::unique_ptr<Client>> flood;
-  for (int i = 0; i < 300; ++i) {
-    flood.push_back(world.Connect());
-    flood.back()->Send("GET /api HTTP/1.1\r\nReq-Id:");
-    world.io.poll();
+  const std::string body = ApiCall("r0", "pay", "9000m", std::string(2000, 'x')).substr(0, 1000);
+  for (const std::string& half : {std::string("GET /api HTTP/1.1\r\nReq-Id:"), body}) {
+    SCOPED_TRACE(half.substr(0, 4));
+    World world(1, TestSettings(), 200);
+    world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+    std::vector<std::unique_ptr<Client>> flood;
+    for (int i = 0; i < 300; ++i) {
+      flood.push_back(world.Connect());
+      flood.back()->Send(half);
+      world.io.poll();
+    }
+    const auto client = world.Connect();
+    client->Send(ApiCall("r1"));
+    EXPECT_EQ(client->Await().result(), http::status::ok);
+    const auto told =
+        std::count_if(flood.begin(), flood.end(), [](const auto& c) { return !c->answers().empty(); });
+    EXPECT_LT(told, 100);  // of the time-outs that would all have come first
   }
-  const auto client = world.Connect();
-  client->Send(ApiCall("r1"));
-  EXPECT_EQ(client->Await().result(), http::status::ok);
-  const auto told =
-      std::count_if(flood.begin(), flood.end(), [](const auto& c) { return !c->answers().empty(); });
-  EXPECT_LT(told, 100);  // of the time-outs that would all have come first
 }
 
 // Guards the clients that wait for a place while all are taken by requests under way: places come free.
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -113,13 +113,14 @@
   std::vector<Taken> requests;
   std::vector<std::shared_ptr<Connection>> connections;
   std::function<void(const Taken&)> serve;  // if set, called for each request
+  bool deaf = false;                        // reads nothing
 
  private:
   void Accept() {
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
       if (ec) return;
       connections.push_back(std::make_shared<Connection>(*this, std::move(socket)));
-      connections.back()->Read();
+      if (!deaf) connections.back()->Read();
       Accept();
     });
   }
@@ -147,6 +148,7 @@
       if (ec == asio::error::would_block) {
         io_.run_one_for(std::chrono::milliseconds(10));
       } else if (ec) {
+        state_->refused = true;
         return;  // a gateway may close on what it has read enough of
       }
     }
@@ -167,7 +169,8 @@
     return RunUntil(io_, [&] { return ended(); });
   }
   const std::vector<HttpResponse>& answers() const { return state_->answers; }
-  bool ended() const { return state_->ended; }  // by the gateway
+  bool ended() const { return state_->ended; }      // by the gateway
+  bool refused() const { return state_->refused; }  // what was sent after that
 
  private:
   struct State {  // outlives the client until its last read has ended
@@ -176,7 +179,7 @@
     boost::beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
     std::vector<HttpResponse> answers;
-    bool ended = false;
+    bool ended = false, refused = false;
   };
 
   static void Read(const std::shared_ptr<State>& state) {
