Keep the no of a drained process while another takes its place

In review: /up of a drained process said yes as soon as its successor was ready (gateway.cpp, the ready handler), before any SIGTERM. It says yes for its successor's sake only once it is stopping and was not drained. The test was seen to fail without it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,7 +107,7 @@
       shared_(!config.handover.empty() && !inheritance.listener && IsTaken(config.listen)),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
                config.settings, config.memory / 4,
-               {[this] { return Ready() || Succeeded(); },
+               {[this] { return Ready() || (stopping_ && !draining_ && Succeeded()); },
                 [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id, Millis at) { Whole(id, at); },
                 [this](const std::string& id) {
--- a/tests/replacement_test.cpp
+++ b/tests/replacement_test.cpp
@@ -105,6 +105,21 @@
   EXPECT_EQ(platform.Ask(idle, "four", 3), "four");
 }
 
+// Guards a drain of the old process while the new one is there: it says no for as long as it is drained.
+TEST(Replacement, LeavesADrainItsNo) {
+  Platform platform;
+  auto old = platform.Start();
+  ASSERT_TRUE(platform.Ready(old));
+  Client client(platform.io, platform.listen);
+  EXPECT_EQ(platform.Ask(client, "one"), "one");  // the old process has the connection
+  auto next = platform.Start();
+  ASSERT_TRUE(platform.Ready(next));
+  EXPECT_EQ(platform.Call(old, "drain-on\n"), "SUCCESS");
+  client.Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(client.Await(2).result_int(), 503u);
+  EXPECT_EQ(platform.Call(next, "check\n"), "SUCCESS");
+}
+
 // Guards against an old process that is killed in the middle, and against a new one that dies: the other goes
 // on.
 TEST(Replacement, OutlivesTheEndOfEitherSide) {
