Give the replacement's test hosts enough for two processes with half the places each

Seen: about one run in thirty ended with a 503 for the first request after SIGTERM. It had been accepted by the old process, whose one place at the only host was taken by the request that the test holds, and waited a quarter of its aim (1.25 s). Ruled out by the logs of both processes: hosts, cold budget, rate.

--- a/tests/replacement_test.cpp
+++ b/tests/replacement_test.cpp
@@ -67,7 +67,12 @@
   const tcp::endpoint listen = FreeAddress(io);
   std::filesystem::path folder;
   const File file{nlohmann::json{
-      {"seed", "1f"}, {"known", List(1, true, {Member("h0", host.address())})}, {"settings", TestSettings()}}
+      {"seed",
+       "1f"},  // More than one: while both run each gives a new host one place only, which "held" takes.
+      {"known",
+       List(1, true,
+            {Member("h0", host.address()), Member("h1", host.address()), Member("h2", host.address())})},
+      {"settings", TestSettings()}}
                       .dump()};
 };
 
@@ -87,7 +92,8 @@
   old.process->Terminate();
   for (int i = 0; i < 50; ++i) {
     Client another(platform.io, platform.listen);
-    EXPECT_EQ(platform.Ask(another, "n" + std::to_string(i)), "n" + std::to_string(i));
+    EXPECT_EQ(platform.Ask(another, "n" + std::to_string(i)), "n" + std::to_string(i))
+        << another.Await() << old.process->Errors() << next.process->Errors();
   }
   platform.held[0].Answer(200, "held");
   EXPECT_EQ(busy.Await().body(), "held");
