--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -24,6 +25,7 @@
 constexpr Millis kDial = 1000;  // a discovery that is cut off never answers a dial
 constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
 constexpr std::size_t kMostList = 8 << 20;
+constexpr Millis kQuiet = 500;  // between two lines on calls
 
 ServerState ToState(const std::string& phase) {
   if (phase == "up") return ServerState::kUp;
@@ -123,16 +125,16 @@
   const bool fresh = socket_ == nullptr;
   call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
   call->timer.async_wait([this, call](error_code ec) {
-    if (!ec) Fail(call);
+    if (!ec) Fail(call, "no connection in time");
   });
   if (!fresh) return Connected(call);
   socket_ = std::make_shared<tcp::socket>(io_);
   socket_->async_connect(address_, [this, call, socket = socket_](error_code ec) {
     if (call != call_) return;
-    if (ec) return Fail(call);
+    if (ec) return Fail(call, ec.message());
     call->timer.expires_after(Span(kWait + kSilence));
     call->timer.async_wait([this, call](error_code timer_ec) {
-      if (!timer_ec) Fail(call);
+      if (!timer_ec) Fail(call, "no answer in time");
     });
     Connected(call);
   });
@@ -145,17 +147,18 @@
   call->request.set(http::field::host, address_.address().to_string());
   http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
     if (call != call_) return;
-    if (ec) return Fail(call);
+    if (ec) return Fail(call, ec.message());
     // The head first, as in the pool: else Boost 1.74 lets any length pass.
     http::async_read_header(*socket, call->buffer, call->parser,
                             [this, call, socket](error_code head_ec, std::size_t) {
                               if (call != call_) return;
-                              if (head_ec || call->parser.content_length().value_or(0) > kMostList)
-                                return Fail(call);
+                              if (head_ec) return Fail(call, head_ec.message());
+                              if (call->parser.content_length().value_or(0) > kMostList)
+                                return Fail(call, "too long a list");
                               http::async_read(*socket, call->buffer, call->parser,
                                                [this, call, socket](error_code read_ec, std::size_t) {
                                                  if (call != call_) return;
-                                                 if (read_ec) return Fail(call);
+                                                 if (read_ec) return Fail(call, read_ec.message());
                                                  Answered(call);
                                                });
                             });
@@ -164,8 +167,11 @@
 
 void Discovery::Answered(const std::shared_ptr<Call>& call) {
   const auto& answer = call->parser.get();
-  auto list = answer.result() == http::status::ok ? ParseHostList(answer.body()) : std::nullopt;
-  if (!list) return Fail(call);
+  if (answer.result() != http::status::ok) return Fail(call, "status " + std::to_string(answer.result_int()));
+  auto list = ParseHostList(answer.body());
+  if (!list) return Fail(call, "not a list of hosts");
+  Say(*call, "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
+                 (list->complete ? " hosts, the whole list" : " hosts changed"));
   call->timer.cancel();
   call_.reset();
   if (!answer.keep_alive()) socket_.reset();
@@ -178,8 +184,16 @@
   });
 }
 
-void Discovery::Fail(const std::shared_ptr<Call>& call) {
+// One line on a call, at most two a second.
+void Discovery::Say(const Call& call, const std::string& what) {
+  if (Now() < quiet_until_) return;
+  quiet_until_ = Now() + kQuiet;
+  std::fprintf(stderr, "discovery: %s, after %.0f ms\n", what.c_str(), Now() - call.begun);
+}
+
+void Discovery::Fail(const std::shared_ptr<Call>& call, const std::string& why) {
   if (call != call_) return;
+  Say(*call, "call failed: " + why);
   Drop();
   watching_ = false;
   handlers_.failed();
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -55,7 +55,8 @@
   void Ask();
   void Connected(const std::shared_ptr<Call>& call);
   void Answered(const std::shared_ptr<Call>& call);
-  void Fail(const std::shared_ptr<Call>& call);
+  void Fail(const std::shared_ptr<Call>& call, const std::string& why);
+  void Say(const Call& call, const std::string& what);
   void Drop();
 
   boost::asio::io_context& io_;
@@ -66,6 +67,7 @@
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
   boost::asio::steady_timer pause_;
   bool watching_ = false;
+  Millis quiet_until_ = 0;  // no line on a call is logged before
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -155,6 +155,12 @@
     std::fprintf(stderr, "class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f\n",
                  c.name.c_str(), c.aim, c.deadline, c.worth, c.late_worth);
   }
+  std::fprintf(
+      stderr,
+      "fleet: gateway %d of %d in zone %s; hosts start at %.2f, warm after %.0f ms, fall at %.1f times "
+      "that; ask within %.0f ms\n",
+      settings_.index, settings_.gateways, settings_.zone.c_str(), settings_.cold_from, settings_.cold_for,
+      settings_.fall_multiple, settings_.ask_within);
   CountLater();
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,6 +59,8 @@
 constexpr double kPooled = 2;           // samples that the latency of a server's kind counts for
 constexpr double kColdShare = 0.4;      // part of the multiple that fells a cold server which it is sent
 constexpr Millis kAskGap = 100;         // ms before a failed list call is made again; doubles
+constexpr Millis kAskSpread = 40;       // ms the same at the least, for each gateway that may ask meanwhile
+constexpr double kAskPart = 0.4;        // part of the longest time without asking that this may come to
 constexpr Millis kDoubt = 500;          // ms of each server's time that a first few answers are spread over
 constexpr Millis kSpentMemory = 1000;   // ms over which the spent rate is smoothed
 constexpr double kLeastSpent = 0.05;    // part of that memory below which a rate can't be told yet
@@ -90,8 +92,9 @@
   void Handle(Millis now, const Event& event, std::vector<Action>& out) {
     out_ = &out;
     Refill(now);
-    if (!std::exchange(started_, true)) Sweep();
+    const bool first = !std::exchange(started_, true);
     std::visit([this](const auto& e) { On(e); }, event);
+    if (first) Sweep();  // after the list, if that comes first
     Release();
   }
 
@@ -178,8 +181,10 @@
 
   void On(const ServerNews& news) {
     if (news.kind == ServerNews::Kind::kFailed) {
-      // The list service may be swamped: ask again later each time, never all gateways at once.
-      ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 4);
+      // The list service may be swamped: ask again later each time, never all gateways at once. It works
+      // through calls that were given up, too: many that come back soon leave it no time for any in time.
+      ask_gap_ = std::min(std::max({kAskGap, AskSpread(), ask_gap_ * 2}),
+                          std::max(set_.ask_within / 4, 2 * AskSpread()));
       ask_at_ = now_ + ask_gap_ * (0.5 + Uniform());
       return;
     }
@@ -196,6 +201,8 @@
     ChooseSubset();
   }
 
+  Millis AskSpread() const { return std::min(kAskSpread * (set_.gateways - 1), kAskPart * set_.ask_within); }
+
   // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
   // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
   // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
@@ -737,7 +744,10 @@
 
   void Sweep() {
     Emit(SetTimer{kSweepEvery, "sweep"});
-    if (set_.ask_for_list && now_ >= ask_at_) {
+    // Gateways that start together must not ask together, where the list that they were given serves.
+    if (ask_at_ == kNever) ask_at_ = now_ + AskSpread() * Uniform();
+    if (set_.ask_for_list && (now_ >= ask_at_ || (!asked_ && up_ == 0))) {
+      asked_ = true;
       Emit(Watch{});
       ask_at_ = std::numeric_limits<Millis>::infinity();
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -154,7 +154,7 @@
   std::vector<double> scratch_;
   std::vector<Flow*> due_;
   std::vector<Action>* out_ = nullptr;
-  bool started_ = false;
+  bool started_ = false, asked_ = false;
   std::size_t busy_at_ = 0;  // place of the utilisation in a load report; past its end if not reported
   Millis now_ = 0;
   Millis ask_at_ = kNever, ask_gap_ = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -873,6 +874,32 @@
   }
 }
 
+// A hundred gateways that start, or fail, at one moment ask a service that bears some twenty calls a second.
+TEST(List, ManyGatewaysThatStartTogetherSpreadTheirCalls) {
+  Settings s = MakeSettings();
+  s.ask_for_list = true;
+  s.gateways = 100;
+  std::vector<int> started(100), again(100);  // calls in each 100 ms
+  int quick = 0;
+  for (s.index = 0; s.index < s.gateways; ++s.index) {
+    Gateway g(s, s.index);
+    quick += Gateway::Count<Watch>(g.Do(ServerNews{ServerNews::Kind::kFull, {MakeServer("s0")}}));
+    for (int& calls : started) calls += Gateway::Count<Watch>(g.Pass(100));
+    g.Do(ServerNews{ServerNews::Kind::kFailed, {}});
+    for (int& calls : again) calls += Gateway::Count<Watch>(g.Pass(100));
+  }
+  EXPECT_LT(quick, 5);
+  for (const auto* calls : {&started, &again}) {
+    EXPECT_EQ(std::accumulate(calls->begin(), calls->end(), 0), 100);  // each once, within 10 s
+    EXPECT_LT(*std::max_element(calls->begin(), calls->end()), 10);
+  }
+  Gateway unlisted(s);  // can serve nobody: asks at once
+  EXPECT_EQ(Gateway::Count<Watch>(unlisted.Do(ServerNews{ServerNews::Kind::kFull, {}})), 1);
+  s.gateways = 1;
+  Gateway alone(s);
+  EXPECT_EQ(Gateway::Count<Watch>(alone.Do(ServerNews{ServerNews::Kind::kFull, {MakeServer("s0")}})), 1);
+}
+
 TEST(WarmKeys, SameKeyKeepsToTheSameServersAtEveryGateway) {
   Settings s = MakeSettings();
   s.warm_keys = true;
