Budget a cold host by the servers in use and by what clients ask for first

The cold budget of a gateway, times the gateways, came to a fraction of a host's part. Test seen to fail without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -268,18 +268,21 @@
   }
 
   // What a warm server of size 1 answers to this gateway, per ms: answers, not sends, for in a jam more is
-  // sent than any server can do. Where none was warm yet: its part of what arrives.
+  // sent than any server can do. Only servers that this gateway uses count: with those of all that use it, a
+  // cold one's parts add up to the whole. What warm ones have not shown yet, or no more, is taken from what
+  // clients ask for first.
   void LearnReference(Millis passed) {
     double all = 0;
     const double keep = std::exp(-passed / kLongMemory);
     warm_time_ *= keep;
     warm_served_ *= keep;
     for (const auto& [id, b] : servers_) {
-      if (!b.up || b.suspect) continue;
+      if (!b.mine || !b.up || b.suspect) continue;
       all += b.info.weight;
       if (Warmth(b) >= 1) warm_time_ += passed * b.info.weight;
     }
-    reference_ = warm_time_ > 0 ? warm_served_ / (warm_time_ + kDoubt * all) : arriving_ / std::max(1.0, all);
+    const double asked = arriving_ / std::max(arriving_part_, kLeastSpent);
+    reference_ = (warm_served_ + kDoubt * asked) / std::max(1.0, warm_time_ + kDoubt * all);
   }
 
   double Slack() const { return set_.warm_keys ? kWarmSlack : kSlack; }
@@ -469,7 +472,9 @@
     const double kept = std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
     spent_rate_ *= kept;
     spent_part_ = 1 - kept * (1 - spent_part_);
-    arriving_ *= std::exp(-passed / kLongMemory);
+    const double remembered = std::exp(-passed / kLongMemory);
+    arriving_ *= remembered;
+    arriving_part_ = 1 - remembered * (1 - arriving_part_);
   }
 
   // Tokens spent a second. What the smoothing has not seen yet counts for nothing: a process that has sent
@@ -520,7 +525,6 @@
     flow.cls = found->second;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
-    arriving_ += 1 / kLongMemory;
     ++counts_.arrived;
     const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
     flow.leaves_at = now_ + left;
@@ -529,6 +533,7 @@
     c.most_left = std::max(c.most_left, left);
     const Millis spent = left < kFirstTry * c.most_left ? std::max(0.0, c.set.deadline - left) : 0;
     const bool late = spent >= c.set.aim;
+    if (spent <= 0) arriving_ += 1 / kLongMemory;
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
@@ -751,7 +756,8 @@
       Emit(Watch{});
       ask_at_ = std::numeric_limits<Millis>::infinity();
     }
-    LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
+    const Millis last = std::exchange(swept_at_, now_);  // before the first nobody was known to be warm
+    LearnReference(last == kNever ? 0 : std::min(kLongMemory, now_ - last));
     ExpireQueued();
     if (now_ >= counted_at_ + kSummaryEvery) {
       if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary()});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -160,10 +160,10 @@
   Millis ask_at_ = kNever, ask_gap_ = 0;
   Millis cut_after_ = kNever, cut_at_ = kNever, quiet_until_ = kNever;
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
-  double spent_part_ = 0;                   // part of its memory that the spent rate has seen
-  double arriving_ = 0;                     // requests per ms, smoothed
-  double warm_served_ = 0, warm_time_ = 0;  // answers of warm servers, and their time, both fading
-  Millis swept_at_ = 0;
+  double spent_part_ = 0;                    // part of its memory that the spent rate has seen
+  double arriving_ = 0, arriving_part_ = 0;  // first tries per ms, smoothed; part of its memory seen
+  double warm_served_ = 0, warm_time_ = 0;   // answers of warm servers, and their time, both fading
+  Millis swept_at_ = kNever;
   double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1;
   int samples_ = 0, up_ = 0;
   std::size_t queued_ = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1010,6 +1010,33 @@
   EXPECT_GT(later, cold);
 }
 
+// Where each gateway uses some of the servers only, those that use a cold one must add up to its part; and a
+// gateway that has known warm ones for a moment only goes by what it is asked for.
+TEST(Cold, GatewaysOfASubsetTogetherSendItsPart) {
+  Settings s = MakeSettings();  // 0.2 of its capacity at first, all after 10 s
+  s.gateways = 100;
+  double cold = 0, warm = 0;
+  for (const bool fresh : {false, true}) {
+    cold = warm = 0;
+    for (s.index = 0; s.index < s.gateways; ++s.index) {
+      Gateway g(s, s.index);
+      g.now = 100000;
+      auto fleet = Fleet(60);
+      g.List(fleet);
+      if (!fresh) g.Serve(300, 50);
+      for (int i = 0; i < 30; ++i) fleet[i].started_at = g.now;
+      g.List(fleet);
+      for (const auto& [id, n] : g.Serve(60, 50)) {
+        if (id.empty()) continue;
+        (std::stoi(id.substr(1)) < 30 ? cold : warm) += n;
+      }
+    }
+    // In 3 s it can do 0.32 of its capacity, and should get some of that: 2.5 or 3 times it would fell it.
+    EXPECT_GT(cold, 0.08 * warm) << fresh;
+    EXPECT_LT(cold, 0.6 * warm) << fresh;
+  }
+}
+
 TEST(Determinism, SameEventsGiveTheSameActions) {
   Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
   a.Servers(5);
