Budget a cold host by what warm ones of its kind bear, and give more of it

Ruled out: bad hosts (0 suspect), the list (all hosts known within 0.7 s), tokens alone (tolerating 0.2 to 0.6 instead of 0.1 of failures let more through to the hosts that were full already). At fault, WithinBudget: 0.4 of what fells a cold host, taken of the mean of all kinds, so that a slow kind had to be safe with a fast one's load. Warm servers' answers are now known by kind (the mean counts for 20 s of a server's time), and a cold one gets 0.7 of what would fell it. Test seen to fail without it.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -191,10 +191,15 @@
     bool suspect = false, lost = false;
     Millis cold_since = 0;
   };
-  double rate = 0, spent = 0, failing = 0, mean_latency = 0, warm_served = 0, warm_time = 0;
+  struct Kind {
+    std::string name;
+    double warm_served = 0, warm_time = 0;
+  };
+  double rate = 0, spent = 0, failing = 0, mean_latency = 0;
   int samples = 0;
   std::vector<Class> classes;
   std::vector<Server> servers;
+  std::vector<Kind> kinds;
 };
 
 class Policy {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -13,58 +13,59 @@
 
 // ---- Constants. General choices of the mechanism, tied to no deployment. ------------------------
 
-constexpr Millis kSweepEvery = 10;      // ms between sweeps: queue expiry
-constexpr Millis kSummaryEvery = 5000;  // ms between the log lines that tell the state
-constexpr Millis kAnswerBefore = 20;    // ms before the client leaves: two sweeps, timers may come late
-constexpr double kStartRate = 1000;     // tokens/s a server: "starting high", far above any use
-constexpr double kRaise = 0.3;          // tokens/s gained by each timely answer
-constexpr double kRaiseShare = 0.05;    // part of the rate gained by it at the most
-constexpr double kCut = 0.85;           // the rate keeps this much at a cut
-constexpr double kTolerated = 0.2;      // failing share of recent outcomes that cuts the rate
+constexpr Millis kSweepEvery = 10;       // ms between sweeps: queue expiry
+constexpr Millis kSummaryEvery = 5000;   // ms between the log lines that tell the state
+constexpr Millis kAnswerBefore = 20;     // ms before the client leaves: two sweeps, timers may come late
+constexpr double kStartRate = 1000;      // tokens/s a server: "starting high", far above any use
+constexpr double kRaise = 0.3;           // tokens/s gained by each timely answer
+constexpr double kRaiseShare = 0.05;     // part of the rate gained by it at the most
+constexpr double kCut = 0.85;            // the rate keeps this much at a cut
+constexpr double kTolerated = 0.2;       // failing share of recent outcomes that cuts the rate
 constexpr double kToleratedMany = 0.1;  // the same where many share a server: none sees much, all add up
-constexpr double kShareBurst = 3;       // requests of its share that a tenant may send at once, at the least
-constexpr Millis kBurst = 50;           // ms of refill that the bucket holds
-constexpr double kCreditCap = 4;        // MCF credit stays within +-this many requests
-constexpr double kFast = 0.1;           // weight of a new sample in a server's latency
-constexpr double kSteady = 0.02;        // the same in the average whose floor is the uncrowded latency
-constexpr double kSlow = 0.01;          // weight of a new sample in a class's latency
-constexpr double kBaseDrift = 0.001;    // how fast the uncrowded latency follows upwards
-constexpr double kSlack = 1.1;          // uncrowded latency times this is no crowding yet
-constexpr double kWarmSlack = 2;        // the same where latency moves with the keys too
-constexpr double kBusySpare = 0.07;     // utilisation kept free of growth, times the root of the gateways
-constexpr double kBusyGain = 4;         // how hard limits shrink beyond that
-constexpr double kBusyWeight = 0.3;     // weight of a new report in a server's utilisation
-constexpr double kSpareBusy = 0.6;      // utilisation above which spare traffic is held back
-constexpr double kSpareShare = 0.3;     // part of a limit open to traffic beyond its share
-constexpr double kManySharers = 8;      // gateways sharing a server beyond which none keeps a limit for it
-constexpr double kHeadroom = 0.7;       // growth of a limit, times its root: small servers grow little
-constexpr double kStartLimit = 8;       // requests, over all gateways, that an unmeasured server is given
-constexpr double kReportStart = 2;      // the same where servers report: growth follows as they show room
-constexpr double kLeastLimit = 1;       // the same, least that a crowded server keeps
-constexpr double kErrWeight = 0.2;      // weight of a new outcome in a server's failing share
-constexpr double kBrokenWeight = 0.05;  // the same of a connection that broke though the server answers
-constexpr double kErrOut = 0.3;         // failing share above which a server is suspect
-constexpr double kErrBack = 0.1;        // and below which, after trials, it is trusted again
-constexpr Millis kTrialGap = 300;       // ms to the first trial of a suspect; doubles
-constexpr Millis kTrialGapMost = 4000;  // ms; longest gap between trials
-constexpr Millis kLostAfter = 1000;     // ms of silence after which failed connections mean a death
-constexpr double kRetryShare = 0.1;     // further attempts earned by each first one
-constexpr double kRetryBurst = 20;      // further attempts that may be saved up
-constexpr double kFirstTry = 0.95;      // part of the most time left below which it is a further try
-constexpr double kWaitShare = 0.25;     // part of its time that a request waits for a token at most
-constexpr double kSharers = 40;         // gateways that use a server, where there are more than that
-constexpr double kLeastServers = 6;     // servers that a gateway uses at the least: some may fail together
-constexpr double kHeldPart = 0.5;       // part of both where connections stay open: full tables cost capacity
-constexpr double kCrossing = 1.3;       // cost of a server in another zone, times its own: crossing is priced
-constexpr double kPooled = 2;           // samples that the latency of a server's kind counts for
-constexpr double kColdShare = 0.4;      // part of the multiple that fells a cold server which it is sent
-constexpr Millis kAskGap = 100;         // ms before a failed list call is made again; doubles
-constexpr Millis kAskSpread = 40;       // ms the same at the least, for each gateway that may ask meanwhile
-constexpr double kAskPart = 0.4;        // part of the longest time without asking that this may come to
-constexpr Millis kDoubt = 500;          // ms of each server's time that a first few answers are spread over
-constexpr Millis kSpentMemory = 1000;   // ms over which the spent rate is smoothed
-constexpr double kLeastSpent = 0.05;    // part of that memory below which a rate can't be told yet
-constexpr Millis kLongMemory = 10000;   // ms, the same where a few requests a second must give a rate
+constexpr double kShareBurst = 3;        // requests of its share that a tenant may send at once, at the least
+constexpr Millis kBurst = 50;            // ms of refill that the bucket holds
+constexpr double kCreditCap = 4;         // MCF credit stays within +-this many requests
+constexpr double kFast = 0.1;            // weight of a new sample in a server's latency
+constexpr double kSteady = 0.02;         // the same in the average whose floor is the uncrowded latency
+constexpr double kSlow = 0.01;           // weight of a new sample in a class's latency
+constexpr double kBaseDrift = 0.001;     // how fast the uncrowded latency follows upwards
+constexpr double kSlack = 1.1;           // uncrowded latency times this is no crowding yet
+constexpr double kWarmSlack = 2;         // the same where latency moves with the keys too
+constexpr double kBusySpare = 0.07;      // utilisation kept free of growth, times the root of the gateways
+constexpr double kBusyGain = 4;          // how hard limits shrink beyond that
+constexpr double kBusyWeight = 0.3;      // weight of a new report in a server's utilisation
+constexpr double kSpareBusy = 0.6;       // utilisation above which spare traffic is held back
+constexpr double kSpareShare = 0.3;      // part of a limit open to traffic beyond its share
+constexpr double kManySharers = 8;       // gateways sharing a server beyond which none keeps a limit for it
+constexpr double kHeadroom = 0.7;        // growth of a limit, times its root: small servers grow little
+constexpr double kStartLimit = 8;        // requests, over all gateways, that an unmeasured server is given
+constexpr double kReportStart = 2;       // the same where servers report: growth follows as they show room
+constexpr double kLeastLimit = 1;        // the same, least that a crowded server keeps
+constexpr double kErrWeight = 0.2;       // weight of a new outcome in a server's failing share
+constexpr double kBrokenWeight = 0.05;   // the same of a connection that broke though the server answers
+constexpr double kErrOut = 0.3;          // failing share above which a server is suspect
+constexpr double kErrBack = 0.1;         // and below which, after trials, it is trusted again
+constexpr Millis kTrialGap = 300;        // ms to the first trial of a suspect; doubles
+constexpr Millis kTrialGapMost = 4000;   // ms; longest gap between trials
+constexpr Millis kLostAfter = 1000;      // ms of silence after which failed connections mean a death
+constexpr double kRetryShare = 0.1;      // further attempts earned by each first one
+constexpr double kRetryBurst = 20;       // further attempts that may be saved up
+constexpr double kFirstTry = 0.95;       // part of the most time left below which it is a further try
+constexpr double kWaitShare = 0.25;      // part of its time that a request waits for a token at most
+constexpr double kSharers = 40;          // gateways that use a server, where there are more than that
+constexpr double kLeastServers = 6;      // servers that a gateway uses at the least: some may fail together
+constexpr double kHeldPart = 0.5;      // part of both where connections stay open: full tables cost capacity
+constexpr double kCrossing = 1.3;      // cost of a server in another zone, times its own: crossing is priced
+constexpr double kPooled = 2;          // samples that the latency of a server's kind counts for
+constexpr double kColdShare = 0.7;     // part of the multiple that fells a cold server which it is sent
+constexpr Millis kAskGap = 100;        // ms before a failed list call is made again; doubles
+constexpr Millis kAskSpread = 40;      // ms the same at the least, for each gateway that may ask meanwhile
+constexpr double kAskPart = 0.4;       // part of the longest time without asking that this may come to
+constexpr Millis kDoubt = 500;         // ms of each server's time that a first few answers are spread over
+constexpr Millis kKindDoubt = 20000;   // ms of a server's time that the mean of all counts for in its kind's
+constexpr Millis kSpentMemory = 1000;  // ms over which the spent rate is smoothed
+constexpr double kLeastSpent = 0.05;   // part of that memory below which a rate can't be told yet
+constexpr Millis kLongMemory = 10000;  // ms, the same where a few requests a second must give a rate
 constexpr double kFailMemory =
     0.05;  // least weight of an outcome in the fleet's failing share; else about a second's
 
@@ -105,8 +106,9 @@
   }
 
   Learned Remember() const {
-    Learned all{rate_, Spent(), failing_, mean_latency_, warm_served_, warm_time_, samples_, {}, {}};
+    Learned all{rate_, Spent(), failing_, mean_latency_, samples_, {}, {}, {}};
     for (const Tier& c : classes_) all.classes.push_back({c.set.name, c.latency, c.samples, c.most_left});
+    for (const auto& [name, k] : kinds_) all.kinds.push_back({name, k.warm_served, k.warm_time});
     for (const auto& [id, b] : servers_) {
       if (!b.up) continue;
       all.servers.push_back({id, b.latency, b.steady, b.base, b.failing, b.limit, b.samples, b.suspect,
@@ -124,8 +126,10 @@
     failing_ = all.failing;
     mean_latency_ = all.mean_latency;
     samples_ = all.samples;
-    warm_served_ = all.warm_served;
-    warm_time_ = all.warm_time;
+    for (const Learned::Kind& known : all.kinds) {
+      kinds_[known.name].warm_served = known.warm_served;
+      kinds_[known.name].warm_time = known.warm_time;
+    }
     swept_at_ = now_;
     LearnReference(0);
     for (const Learned::Class& known : all.classes) {
@@ -168,7 +172,7 @@
   void Scale(double part) {
     rate_ = std::clamp(rate_ * part, 1.0 * up_ / set_.gateways, kStartRate * std::max(1, up_));
     tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
-    warm_served_ *= part;
+    for (auto& [name, k] : kinds_) k.warm_served *= part;
     spent_rate_ *= part;
     for (auto& [id, b] : servers_) {
       b.limit = std::max(LeastLimit(), b.limit * part);
@@ -261,7 +265,7 @@
     const double warmth = Warmth(b);
     if (warmth >= 1) return true;
     const double earned =
-        kColdShare * set_.fall_multiple * warmth * b.info.weight * reference_ * (now_ - b.credit_at);
+        kColdShare * set_.fall_multiple * warmth * b.info.weight * Bears(*b.kind) * (now_ - b.credit_at);
     b.cold_credit = std::min(1.0, b.cold_credit + earned);
     b.credit_at = now_;
     return b.cold_credit >= 1;
@@ -270,19 +274,23 @@
   // What a warm server of size 1 answers to this gateway, per ms: answers, not sends, for in a jam more is
   // sent than any server can do. Only servers that this gateway uses count: with those of all that use it, a
   // cold one's parts add up to the whole. What warm ones have not shown yet, or no more, is taken from what
-  // clients ask for first.
+  // clients ask for first. Slow kinds bear less than the mean, so each kind's own answers come in.
   void LearnReference(Millis passed) {
     double all = 0;
     const double keep = std::exp(-passed / kLongMemory);
-    warm_time_ *= keep;
-    warm_served_ *= keep;
+    for (auto& [name, k] : kinds_) k.warm_served *= keep, k.warm_time *= keep;
     for (const auto& [id, b] : servers_) {
       if (!b.mine || !b.up || b.suspect) continue;
       all += b.info.weight;
-      if (Warmth(b) >= 1) warm_time_ += passed * b.info.weight;
+      if (Warmth(b) >= 1) b.kind->warm_time += passed * b.info.weight;
     }
+    double served = 0, time = 0;
+    for (const auto& [name, k] : kinds_) served += k.warm_served, time += k.warm_time;
     const double asked = arriving_ / std::max(arriving_part_, kLeastSpent);
-    reference_ = (warm_served_ + kDoubt * asked) / std::max(1.0, warm_time_ + kDoubt * all);
+    reference_ = (served + kDoubt * asked) / std::max(1.0, time + kDoubt * all);
+  }
+  double Bears(const Kind& k) const {
+    return (k.warm_served + kKindDoubt * reference_) / (k.warm_time + kKindDoubt);
   }
 
   double Slack() const { return set_.warm_keys ? kWarmSlack : kSlack; }
@@ -343,7 +351,7 @@
     // A connection that broke while the process lives says little: the network may break a share of all.
     const bool broken = outcome.result == Result::kReset && b.last_served > now_ - kLostAfter;
     if (served) b.last_served = now_;
-    if (served && Warmth(b) >= 1) warm_served_ += 1;
+    if (served && Warmth(b) >= 1) b.kind->warm_served += 1;
     if (!heavy) b.failing += (broken ? kBrokenWeight : kErrWeight) * ((served ? 0.0 : 1.0) - b.failing);
     if (served && b.suspect) {
       b.next_trial = now_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -41,7 +41,8 @@
 
 struct Kind {  // what servers of one kind have in common
   double latency = 0, steady = 0, base = 0;
-  double busy = 0;  // reported utilisation, smoothed
+  double busy = 0;                        // reported utilisation, smoothed
+  double warm_served = 0, warm_time = 0;  // answers of warm servers, and their time, both fading
   int samples = 0;
 };
 
@@ -162,7 +163,6 @@
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
   double spent_part_ = 0;                    // part of its memory that the spent rate has seen
   double arriving_ = 0, arriving_part_ = 0;  // first tries per ms, smoothed; part of its memory seen
-  double warm_served_ = 0, warm_time_ = 0;   // answers of warm servers, and their time, both fading
   Millis swept_at_ = kNever;
   double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1;
   int samples_ = 0, up_ = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1037,6 +1037,36 @@
   }
 }
 
+// A slow kind that takes a third of what a fast one does bears so much less while it is cold, too.
+TEST(Cold, ServerOfASlowKindIsSentLessThanOneOfAFastKind) {
+  Gateway g;
+  g.now = 100000;
+  auto fleet = Fleet(12);
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet[i].kind = i % 2 ? "slow" : "fast";
+  std::map<std::string, int> taken;
+  const auto serve = [&](int n) {
+    for (int i = 0; i < n; ++i) {
+      const std::string id = "r" + std::to_string(g.warmed++), server = Gateway::SentTo(g.Ask(id));
+      g.now += 10;
+      g.Do(TimerDue{"sweep"});
+      const bool fast = server[0] != 'c' && std::stoi(server.substr(1)) % 2 == 0;
+      g.End(id, server, Result::kServed, server[0] == 'c' ? 1 : fast ? 20 : 60);
+      ++taken[server];
+    }
+  };
+  g.List(fleet);
+  serve(2000);
+  for (const char* kind : {"slow", "fast"}) {
+    fleet.push_back(MakeServer(std::string("cold-") + kind, "0", g.now));
+    fleet.back().kind = kind;
+  }
+  g.List(fleet);
+  taken.clear();
+  serve(500);
+  EXPECT_GT(taken["cold-fast"], 1.5 * taken["cold-slow"]);
+  EXPECT_GT(taken["cold-slow"], 0);
+}
+
 TEST(Determinism, SameEventsGiveTheSameActions) {
   Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
   a.Servers(5);
@@ -1073,7 +1103,9 @@
   EXPECT_EQ(again.rate, learned.rate);
   next.policy.Scale(0.5);
   EXPECT_DOUBLE_EQ(next.policy.Remember().rate, learned.rate / 2);
-  EXPECT_DOUBLE_EQ(next.policy.Remember().warm_served, learned.warm_served / 2);
+  ASSERT_EQ(learned.kinds.size(), 1u);
+  EXPECT_GT(learned.kinds[0].warm_served, 0);
+  EXPECT_DOUBLE_EQ(next.policy.Remember().kinds.at(0).warm_served, learned.kinds[0].warm_served / 2);
   next.policy.Scale(2);
   EXPECT_DOUBLE_EQ(next.policy.Remember().rate, learned.rate);
 }
