Bound the trials of suspect servers to a part of the requests and of their time

Ruled out: the list (8 s late by its own notice), ejection that fails to happen. Safe in one gateway, harmful in forty that use a host, Pick(): any suspect that was due took the next request, after an answered trial at once the one behind it, with all of its time. A trial is now earned by 20 requests (2 at most are saved up), drawn among those due, and ends half way to the request's aim, so that another attempt can be in time. Where nobody else can take the request it goes to a suspect as before. Tests seen to fail without the bound and the time.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,13 +47,16 @@
 constexpr double kErrBack = 0.1;         // and below which, after trials, it is trusted again
 constexpr Millis kTrialGap = 300;        // ms to the first trial of a suspect; doubles
 constexpr Millis kTrialGapMost = 4000;   // ms; longest gap between trials
-constexpr Millis kLostAfter = 1000;      // ms of silence after which failed connections mean a death
-constexpr double kRetryShare = 0.1;      // further attempts earned by each first one
-constexpr double kRetryBurst = 20;       // further attempts that may be saved up
-constexpr double kFirstTry = 0.95;       // part of the most time left below which it is a further try
-constexpr double kWaitShare = 0.25;      // part of its time that a request waits for a token at most
-constexpr double kSharers = 40;          // gateways that use a server, where there are more than that
-constexpr double kLeastServers = 6;      // servers that a gateway uses at the least: some may fail together
+constexpr double kTrialShare = 0.05;     // trials earned by each request
+constexpr double kTrialBurst = 2;        // trials that may be saved up
+constexpr double kTrialTime = 0.5;  // part of the time to its aim that a trial takes: the rest is for another
+constexpr Millis kLostAfter = 1000;    // ms of silence after which failed connections mean a death
+constexpr double kRetryShare = 0.1;    // further attempts earned by each first one
+constexpr double kRetryBurst = 20;     // further attempts that may be saved up
+constexpr double kFirstTry = 0.95;     // part of the most time left below which it is a further try
+constexpr double kWaitShare = 0.25;    // part of its time that a request waits for a token at most
+constexpr double kSharers = 40;        // gateways that use a server, where there are more than that
+constexpr double kLeastServers = 6;    // servers that a gateway uses at the least: some may fail together
 constexpr double kHeldPart = 0.5;      // part of both where connections stay open: full tables cost capacity
 constexpr double kCrossing = 1.3;      // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;          // samples that the latency of a server's kind counts for
@@ -439,17 +442,23 @@
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
     candidates_.clear();
     spared_.clear();
+    trials_.clear();
     for (auto& [id, b] : servers_) {
       if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
       // A suspect returns by one trial at a time, with a request that may run again.
       if (b.suspect) {
-        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) return &b;
+        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) trials_.push_back(&b);
         continue;
       }
       if (!Ready(b, flow.in_share)) continue;
       (now_ < b.errors[flow.cls].avoid_until ? spared_ : candidates_).push_back({0, &b});
     }
     if (candidates_.empty()) candidates_.swap(spared_);  // where all fail the class, one may have recovered
+    // Trials cost requests, and those of all gateways add up at a server: few, unless nobody else is there.
+    if (!trials_.empty() && (trial_budget_ >= 1 || candidates_.empty())) {
+      trial_budget_ = std::max(0.0, trial_budget_ - 1);
+      return trials_[random_() % trials_.size()];
+    }
     if (candidates_.empty()) return nullptr;
     if (candidates_.size() > 2) {
       if (set_.warm_keys && flow.key != 0) {
@@ -545,6 +554,7 @@
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
+    trial_budget_ = std::min(trial_budget_ + kTrialShare, kTrialBurst);
     const bool in_vain = late && c.set.late_worth <= 0;       // worth nothing any more
     if (in_vain || now_ >= flow.leaves_at - kAnswerBefore) {  // or no sweep may come in time
       ++counts_.late;
@@ -624,7 +634,8 @@
   // ---- Attempts and answers --------------------------------------------------------------------
 
   void Dispatch(Flow& flow, Backend& b) {
-    const Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
+    Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
+    if (b.suspect && flow.attempts.empty()) until = now_ + kTrialTime * (flow.aim_at - now_);
     tokens_ -= 1;
     spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
     if (Warmth(b) < 1) b.cold_credit -= 1;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -152,6 +152,7 @@
   std::map<std::string, Kind> kinds_;
   std::map<std::string, Backend> servers_;  // ordered: iteration must be repeatable
   std::vector<std::pair<double, Backend*>> candidates_, spared_;
+  std::vector<Backend*> trials_;
   std::vector<double> scratch_;
   std::vector<Flow*> due_;
   std::vector<Action>* out_ = nullptr;
@@ -164,7 +165,7 @@
   double spent_part_ = 0;                    // part of its memory that the spent rate has seen
   double arriving_ = 0, arriving_part_ = 0;  // first tries per ms, smoothed; part of its memory seen
   Millis swept_at_ = kNever;
-  double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1;
+  double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1, trial_budget_ = 1;
   int samples_ = 0, up_ = 0;
   std::size_t queued_ = 0;
   Counts counts_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1067,6 +1067,45 @@
   EXPECT_GT(taken["cold-slow"], 0);
 }
 
+// Trials of a server that goes on failing cost clients' requests: few of all, cut off while there is time for
+// another server, and never a reason to send nothing.
+TEST(Trials, TakeASmallPartOfTheRequestsAndOfTheirTime) {
+  Settings s = MakeSettings();
+  s.gateways = 100;
+  Gateway g(s);
+  g.List(Fleet(60));
+  int tried = 0, sent = 0, whole = 0;
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "r" + std::to_string(i), server = Gateway::SentTo(g.Ask(id));
+    g.now += 66;
+    g.Do(TimerDue{"sweep"});
+    if (server.empty()) continue;
+    const bool bad = std::stoi(server.substr(1)) % 3 == 0;
+    if (i >= 300) {
+      ++sent;
+      tried += bad;
+      whole += bad && g.sent.back().timeout > 500;  // of 1000 to its aim
+    }
+    g.End(id, server, bad && i % 4 ? Result::kError : Result::kServed, 66);
+  }
+  EXPECT_GT(tried, 2);
+  EXPECT_LT(tried, 0.08 * sent);
+  EXPECT_LT(whole, tried / 2);
+  s.max_attempts = 1;
+  s.gateways = 1;
+  Gateway alone(s);  // with one server, that has failed and is well again
+  alone.Servers(1);
+  std::size_t ended = 0;
+  for (int i = 0; i < 64; ++i) {
+    alone.Ask("r" + std::to_string(i));
+    alone.Pass(300);
+    for (; ended < alone.sent.size(); ++ended) {
+      alone.End(alone.sent[ended].request, "s0", ended < 4 ? Result::kError : Result::kServed, 100);
+    }
+  }
+  EXPECT_GT(ended, 45);
+}
+
 TEST(Determinism, SameEventsGiveTheSameActions) {
   Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
   a.Servers(5);
