--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1106,6 +1106,28 @@
   EXPECT_GT(ended, 45);
 }
 
+// A gateway with a few answers a second can't tell one late answer in eight from chance; the fleet's hosts
+// would stand idle while its clients wait for tokens.
+TEST(Rate, FewAnswersASecondAreNotCutForOneLateAmongEight) {
+  Settings s = MakeSettings();
+  s.gateways = 100;
+  const auto cuts = [&](int one_in) {
+    Gateway g(s);
+    g.List(Fleet(60));
+    int cut = 0;
+    for (int i = 0; i < 200; ++i) {
+      const std::string id = "r" + std::to_string(i), server = Gateway::SentTo(g.Ask(id));
+      g.now += 66;
+      if (server.empty()) continue;
+      const auto said = g.End(id, server, i % one_in ? Result::kServed : Result::kTimedOut, 66);
+      cut += Gateway::Logged(said, "rate cut");
+    }
+    return cut;
+  };
+  EXPECT_EQ(cuts(8), 0);
+  EXPECT_GT(cuts(2), 1);
+}
+
 TEST(Determinism, SameEventsGiveTheSameActions) {
   Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
   a.Servers(5);
