Leave a zone that falls silent after three mute hosts, and try it by its answers

Three servers of a zone that timed out or could not be reached, with no answer from the zone since they were asked, now make the whole zone suspect: it gets trials only, and one answer ends that. Where there is one zone nothing changes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -50,13 +50,14 @@
 constexpr double kTrialShare = 0.05;     // trials earned by each request
 constexpr double kTrialBurst = 2;        // trials that may be saved up
 constexpr double kTrialTime = 0.5;  // part of the time to its aim that a trial takes: the rest is for another
-constexpr Millis kLostAfter = 1000;    // ms of silence after which failed connections mean a death
-constexpr double kRetryShare = 0.1;    // further attempts earned by each first one
-constexpr double kRetryBurst = 20;     // further attempts that may be saved up
-constexpr double kFirstTry = 0.95;     // part of the most time left below which it is a further try
-constexpr double kWaitShare = 0.25;    // part of its time that a request waits for a token at most
-constexpr double kSharers = 40;        // gateways that use a server, where there are more than that
-constexpr double kLeastServers = 6;    // servers that a gateway uses at the least: some may fail together
+constexpr std::size_t kSilentServers = 3;  // mute ones, with no answer since, that tell of a lost zone
+constexpr Millis kLostAfter = 1000;        // ms of silence after which failed connections mean a death
+constexpr double kRetryShare = 0.1;        // further attempts earned by each first one
+constexpr double kRetryBurst = 20;         // further attempts that may be saved up
+constexpr double kFirstTry = 0.95;         // part of the most time left below which it is a further try
+constexpr double kWaitShare = 0.25;        // part of its time that a request waits for a token at most
+constexpr double kSharers = 40;            // gateways that use a server, where there are more than that
+constexpr double kLeastServers = 6;        // servers that a gateway uses at the least: some may fail together
 constexpr double kHeldPart = 0.5;      // part of both where connections stay open: full tables cost capacity
 constexpr double kCrossing = 1.3;      // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;          // samples that the latency of a server's kind counts for
@@ -108,17 +109,7 @@
     }));
   }
 
-  Learned Remember() const {
-    Learned all{rate_, Spent(), failing_, mean_latency_, samples_, {}, {}, {}};
-    for (const Tier& c : classes_) all.classes.push_back({c.set.name, c.latency, c.samples, c.most_left});
-    for (const auto& [name, k] : kinds_) all.kinds.push_back({name, k.warm_served, k.warm_time});
-    for (const auto& [id, b] : servers_) {
-      if (!b.up) continue;
-      all.servers.push_back({id, b.latency, b.steady, b.base, b.failing, b.limit, b.samples, b.suspect,
-                             b.lost, std::max(kNever, b.cold_since)});
-    }
-    return all;
-  }
+  Learned Remember() const { return Remembered(*this, Spent()); }
 
   void Adopt(Millis now, const Learned& all) {
     Refill(now);
@@ -234,6 +225,7 @@
     const bool restarted = added || s.started_at > b.info.started_at;
     b.info = s;
     b.kind = &kinds_[s.kind];
+    b.zone = &zones_[s.zone];
     b.hash = Hash(s.id);
     b.up = s.state == ServerState::kUp;
     if (!(b.info.weight > 0) || !std::isfinite(b.info.weight)) b.info.weight = 1;
@@ -307,6 +299,10 @@
     return b.in_flight < b.places * part && WithinBudget(b);
   }
 
+  // A zone is lost, or cut off, before each of its servers could show it: several said nothing, and none
+  // answered since. One answer ends that.
+  bool Silent(const Backend& b) const { return zones_.size() > 1 && b.zone->silent.size() >= kSilentServers; }
+
   void Suspect(Backend& b) {
     if (!std::exchange(b.suspect, true)) {
       Say("server " + b.info.id + " not ready: failing");
@@ -353,7 +349,9 @@
     const bool heavy = outcome.result == Result::kTimedOut && b.last_served > now_ - outcome.latency;
     // A connection that broke while the process lives says little: the network may break a share of all.
     const bool broken = outcome.result == Result::kReset && b.last_served > now_ - kLostAfter;
-    if (served) b.last_served = now_;
+    if (served) b.last_served = now_, b.zone->answered = now_, b.zone->silent.clear();
+    const bool mute = outcome.result == Result::kTimedOut || outcome.result == Result::kConnectFailed;
+    if (mute && now_ - outcome.latency > b.zone->answered) b.zone->silent.insert(&b);
     if (served && Warmth(b) >= 1) b.kind->warm_served += 1;
     if (!heavy) b.failing += (broken ? kBrokenWeight : kErrWeight) * ((served ? 0.0 : 1.0) - b.failing);
     if (served && b.suspect) {
@@ -446,7 +444,7 @@
     for (auto& [id, b] : servers_) {
       if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
       // A suspect returns by one trial at a time, with a request that may run again.
-      if (b.suspect) {
+      if (b.suspect || Silent(b)) {
         if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) trials_.push_back(&b);
         continue;
       }
@@ -501,7 +499,7 @@
   // Failures that one server explains eject it; only those of servers held ready move the rate. A broken
   // connection tells nothing of load: one that can't take more rejects, is late, or fails to connect.
   void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome, Millis sent) {
-    if (b.suspect || outcome.result == Result::kReset) return;
+    if (b.suspect || Silent(b) || outcome.result == Result::kReset) return;
     const bool served = outcome.result == Result::kServed;
     const bool timely = served && now_ <= flow.aim_at;
     if (!timely && sent < cut_at_) return;  // sent at the old rate: it has been cut for that
@@ -554,7 +552,7 @@
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
-    trial_budget_ = std::min(trial_budget_ + kTrialShare, kTrialBurst);
+    trial_budget_ = std::min(trial_budget_ + (sharers_ > kManySharers ? kTrialShare : 1), kTrialBurst);
     const bool in_vain = late && c.set.late_worth <= 0;       // worth nothing any more
     if (in_vain || now_ >= flow.leaves_at - kAnswerBefore) {  // or no sweep may come in time
       ++counts_.late;
@@ -635,7 +633,8 @@
 
   void Dispatch(Flow& flow, Backend& b) {
     Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
-    if (b.suspect && flow.attempts.empty()) until = now_ + kTrialTime * (flow.aim_at - now_);
+    if ((b.suspect || Silent(b)) && sharers_ > kManySharers && flow.attempts.empty())
+      until = now_ + kTrialTime * (flow.aim_at - now_);
     tokens_ -= 1;
     spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
     if (Warmth(b) < 1) b.cold_credit -= 1;
@@ -779,7 +778,7 @@
     LearnReference(last == kNever ? 0 : std::min(kLongMemory, now_ - last));
     ExpireQueued();
     if (now_ >= counted_at_ + kSummaryEvery) {
-      if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary()});
+      if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary(*this)});
     }
   }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -9,18 +9,19 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "counts.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch {
 
 constexpr Millis kNever = -1e15;
-constexpr int kResults = 8;  // values of Result
 
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
@@ -46,9 +47,16 @@
   int samples = 0;
 };
 
+struct Backend;
+struct Zone {
+  Millis answered = kNever;         // last, by any of its servers
+  std::set<const Backend*> silent;  // those that timed out or could not be reached since
+};
+
 struct Backend {
   Server info;
   Kind* kind = nullptr;
+  Zone* zone = nullptr;
   std::uint64_t hash = 0;
   bool up = false;
   bool mine = false;   // in this gateway's subset
@@ -131,16 +139,6 @@
   Millis at = 0;
 };
 
-// What was done since the last line of the log that tells of it.
-struct Counts {
-  int arrived = 0, direct = 0, released = 0;  // requests taken, and how they were first sent
-  int full = 0, waited = 0, late = 0,
-      spoiled = 0;              // given up: no place, no token in time, too late, after tries
-  int outcomes[kResults] = {};  // of attempts, by Result
-  int slow = 0;                 // of those served: after the aim
-  Millis held = 0;              // time in queues of those released, added up
-};
-
 // All that one Policy remembers.
 struct State {
   Settings set_;
@@ -150,6 +148,7 @@
   std::unordered_map<std::string, Tenant> tenants_;   // the same
   std::unordered_map<std::string, Flow> flows_;       // the same
   std::map<std::string, Kind> kinds_;
+  std::map<std::string, Zone> zones_;
   std::map<std::string, Backend> servers_;  // ordered: iteration must be repeatable
   std::vector<std::pair<double, Backend*>> candidates_, spared_;
   std::vector<Backend*> trials_;
@@ -230,29 +229,6 @@
     return latency > 0 && mean_latency_ > 0 ? latency / mean_latency_ : 1;
   }
 
-  // The counts and the state that explains them, as one line. Starts the counts anew.
-  std::string Summary() {
-    int up = 0, suspect = 0, out = 0;
-    double places = 0;
-    for (const auto& [id, b] : servers_) {
-      up += b.up;
-      suspect += b.up && b.suspect;
-      out += b.in_flight;
-      if (b.up && !b.suspect) places += b.places;
-    }
-    const Counts c = std::exchange(counts_, {});
-    char text[400];
-    std::snprintf(
-        text, sizeof text,
-        "state: rate %.0f spent %.0f tokens %.1f failing %.2f queued %zu servers %d suspect %d out %d "
-        "places %.0f latency %.1f | arrived %d direct %d released %d held %.1f full %d waited %d late %d "
-        "spoiled %d | served %d slow %d error %d rejected %d timeout %d connect %d reset %d",
-        rate_, spent_rate_, tokens_, failing_, queued_, up, suspect, out, places, mean_latency_, c.arrived,
-        c.direct, c.released, c.held / std::max(1, c.released), c.full, c.waited, c.late, c.spoiled,
-        c.outcomes[0], c.slow, c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5]);
-    return text;
-  }
-
   double Uniform() { return static_cast<double>(random_() >> 11) / 9007199254740992.0; }
 };
 
