Let 12 gateways share a server, not 40, and widen the choice with requests that are out

Guess: thin samples, each gateway's picks are near to chance. As one gateway may get a quarter of all clients, the choice also holds three servers for each own request that is out, and grows as soon as that needs a quarter more. Tests seen to fail without each part.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -56,8 +56,10 @@
 constexpr double kRetryBurst = 20;         // further attempts that may be saved up
 constexpr double kFirstTry = 0.95;         // part of the most time left below which it is a further try
 constexpr double kWaitShare = 0.25;        // part of its time that a request waits for a token at most
-constexpr double kSharers = 40;            // gateways that use a server, where there are more than that
+constexpr double kSharers = 12;            // gateways that use a server, where there are more than that
 constexpr double kLeastServers = 6;        // servers that a gateway uses at the least: some may fail together
+constexpr double kOwnSpread = 3;           // servers used at the least for each own request that is out
+constexpr double kWider = 1.25;        // times the servers in use that this must come to before more are used
 constexpr double kHeldPart = 0.5;      // part of both where connections stay open: full tables cost capacity
 constexpr double kCrossing = 1.3;      // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;          // samples that the latency of a server's kind counts for
@@ -201,6 +203,11 @@
 
   Millis AskSpread() const { return std::min(kAskSpread * (set_.gateways - 1), kAskPart * set_.ask_within); }
 
+  // Servers that own requests need, however few others share them: clients may come to one gateway most.
+  double Busy() const {
+    return kOwnSpread * arriving_ / std::max(arriving_part_, kLeastSpent) * mean_latency_;
+  }
+
   // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
   // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
   // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
@@ -209,7 +216,8 @@
     OrderRing();
     const double all = static_cast<double>(ring_.size());
     const double part = set_.streams > 1 ? kHeldPart : 1;
-    const double wanted = part * std::max(kLeastServers, kSharers * all / set_.gateways);
+    used_ = part * std::max({kLeastServers, kSharers * all / set_.gateways, Busy()});
+    const double wanted = used_;
     sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, all)));
     double chosen = 0;
     for (std::size_t i = 0; i < ring_.size() && chosen < wanted; ++i) {
@@ -776,6 +784,7 @@
     }
     const Millis last = std::exchange(swept_at_, now_);  // before the first nobody was known to be warm
     LearnReference(last == kNever ? 0 : std::min(kLongMemory, now_ - last));
+    if (Busy() > kWider * used_) ChooseSubset();
     ExpireQueued();
     if (now_ >= counted_at_ + kSummaryEvery) {
       if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary(*this)});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -11,12 +11,12 @@
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "counts.hpp"
+#include "hash.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch {
@@ -26,20 +26,6 @@
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
 
-// FNV-1a with a final mix: all gateways must rank servers alike, so std::hash will not do.
-inline std::uint64_t Hash(std::string_view text, std::uint64_t h = 1469598103934665603ULL) {
-  for (const unsigned char c : text) h = (h ^ c) * 1099511628211ULL;
-  h = (h ^ (h >> 33)) * 0xff51afd7ed558ccdULL;
-  return h ^ (h >> 33);
-}
-
-// A hash as a fraction strictly between 0 and 1.
-inline double Fraction(std::uint64_t h) {
-  h *= 0x9e3779b97f4a7c15ULL;
-  h = (h ^ (h >> 32)) * 0xd6e8feb86659fd93ULL;
-  return (static_cast<double>((h ^ (h >> 32)) >> 11) + 0.5) / 9007199254740992.0;
-}
-
 struct Kind {  // what servers of one kind have in common
   double latency = 0, steady = 0, base = 0;
   double busy = 0;                        // reported utilisation, smoothed
@@ -172,6 +158,7 @@
   std::vector<std::pair<double, Backend*>> ring_;
   double place_ = 0;    // of this gateway on the ring of servers
   double sharers_ = 1;  // gateways that use each server
+  double used_ = 0;     // servers that this one wants to use
 
   Flow* Find(const std::string& id) {
     const auto found = flows_.find(id);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -976,6 +976,27 @@
   EXPECT_LT(taken(20), 12);
 }
 
+// A few servers are learned from a few requests; a gateway that most clients come to must not crowd them.
+TEST(Subset, IsSmallForFewRequestsAndGrowsWithThoseThatAreOut) {
+  Settings s = MakeSettings();
+  s.gateways = 100;
+  Gateway g(s);
+  g.List(Fleet(60));
+  EXPECT_LE(g.Serve(300, 66).size(), 8u);
+  std::set<std::string> used;
+  std::size_t ended = g.sent.size();
+  for (int i = 0; i < 500; ++i) {  // 20 at a time
+    g.Ask("busy" + std::to_string(i));
+    g.now += 20;
+    g.Do(TimerDue{"sweep"});
+    for (; ended + 20 < g.sent.size(); ++ended) {
+      g.End(g.sent[ended].request, g.sent[ended].server, Result::kServed, 400);
+      if (i > 400) used.insert(g.sent[ended].server);
+    }
+  }
+  EXPECT_GT(used.size(), 30u);
+}
+
 TEST(Subset, IsHalfAsLargeWhereConnectionsStayOpen) {
   Settings s = MakeSettings();
   s.gateways = 100;
@@ -1109,7 +1130,7 @@
 // A zone that is lost says nothing at any of its servers: three tell, not each by itself; one answer ends it.
 TEST(Zones, ThatFallSilentAreLeftAfterAFewRequestsAndTakenBackByAnAnswer) {
   Settings s = MakeSettings();
-  s.gateways = 100;
+  s.gateways = 30;
   s.max_attempts = 1;
   Gateway g(s);
   auto fleet = Fleet(60);
