--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -6,15 +6,15 @@
 cd "$(dirname "$0")/.."
 
 setting() { sed -n "s/^$1 = \"\(.*\)\".*/\1/p" deploy/balancer.toml; }
-policy=$(sed -n 's/^policy = \["\(.*\)"\].*/\1/p' deploy/balancer.toml)
+read -ra policy < <(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 step() { printf '\n== %s\n' "$*"; }
 
 step "format and size"
 find src include tests examples -name '*.?pp' -print0 | xargs -0 clang-format --dry-run -Werror
-lines=$(grep -cv '^[[:space:]]*$' "$policy")
-echo "$policy: $lines lines that are not blank (1200 at most)"
+lines=$(cat "${policy[@]}" | grep -cv '^[[:space:]]*$')
+echo "${policy[*]}: $lines lines that are not blank (1200 at most)"
 test "$lines" -le 1200
-if grep -nE '^.{111,}' "$policy"; then echo "$policy: lines of more than 110 characters"; exit 1; fi
+if grep -nE '^.{111,}' "${policy[@]}"; then echo "lines of more than 110 characters"; exit 1; fi
 
 step "build by deploy/balancer.toml"
 bash -c "$(setting build)"
