Choose servers of the own zone before those of others where only some are used

At fault: ChooseSubset took the ring as it comes. A server of another zone now comes in for 0.4 of the gateways only, drawn by a hash of both, unless there are too few others, or no own zone.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,16 +59,17 @@
 constexpr double kSharers = 12;            // gateways that use a server, where there are more than that
 constexpr double kLeastServers = 6;        // servers that a gateway uses at the least: some may fail together
 constexpr double kOwnSpread = 3;           // servers used at the least for each own request that is out
-constexpr double kWider = 1.25;        // times the servers in use that this must come to before more are used
-constexpr double kHeldPart = 0.5;      // part of both where connections stay open: full tables cost capacity
-constexpr double kCrossing = 1.3;      // cost of a server in another zone, times its own: crossing is priced
-constexpr double kPooled = 2;          // samples that the latency of a server's kind counts for
-constexpr double kColdShare = 0.7;     // part of the multiple that fells a cold server which it is sent
-constexpr Millis kAskGap = 100;        // ms before a failed list call is made again; doubles
-constexpr Millis kAskSpread = 40;      // ms the same at the least, for each gateway that may ask meanwhile
-constexpr double kAskPart = 0.4;       // part of the longest time without asking that this may come to
-constexpr Millis kDoubt = 500;         // ms of each server's time that a first few answers are spread over
-constexpr Millis kKindDoubt = 20000;   // ms of a server's time that the mean of all counts for in its kind's
+constexpr double kWider = 1.25;       // times the servers in use that this must come to before more are used
+constexpr double kHeldPart = 0.5;     // part of both where connections stay open: full tables cost capacity
+constexpr double kFarShare = 0.4;     // part of the servers of other zones that come in like those of its own
+constexpr double kCrossing = 1.3;     // cost of a server in another zone, times its own: crossing is priced
+constexpr double kPooled = 2;         // samples that the latency of a server's kind counts for
+constexpr double kColdShare = 0.7;    // part of the multiple that fells a cold server which it is sent
+constexpr Millis kAskGap = 100;       // ms before a failed list call is made again; doubles
+constexpr Millis kAskSpread = 40;     // ms the same at the least, for each gateway that may ask meanwhile
+constexpr double kAskPart = 0.4;      // part of the longest time without asking that this may come to
+constexpr Millis kDoubt = 500;        // ms of each server's time that a first few answers are spread over
+constexpr Millis kKindDoubt = 20000;  // ms of a server's time that the mean of all counts for in its kind's
 constexpr Millis kSpentMemory = 1000;  // ms over which the spent rate is smoothed
 constexpr double kLeastSpent = 0.05;   // part of that memory below which a rate can't be told yet
 constexpr Millis kLongMemory = 10000;  // ms, the same where a few requests a second must give a rate
@@ -85,6 +86,7 @@
     const double worth = Validate(set_);
     const auto& fields = set_.report_fields;
     place_ = set_.index < 0 ? Uniform() : std::fmod(set_.index * 0.6180339887498949, 1.0);
+    salt_ = Hash(std::to_string(place_));
     busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
     for (const ClassSettings& c : set_.classes) {
       class_index_[c.name] = static_cast<int>(classes_.size());
@@ -216,16 +218,20 @@
     OrderRing();
     const double all = static_cast<double>(ring_.size());
     const double part = set_.streams > 1 ? kHeldPart : 1;
-    used_ = part * std::max({kLeastServers, kSharers * all / set_.gateways, Busy()});
-    const double wanted = used_;
+    const double wanted = used_ = part * std::max({kLeastServers, kSharers * all / set_.gateways, Busy()});
     sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, all)));
     double chosen = 0;
-    for (std::size_t i = 0; i < ring_.size() && chosen < wanted; ++i) {
+    const auto own =
+        std::find_if(ring_.begin(), ring_.end(), [this](auto& entry) { return Near(*entry.second); });
+    for (std::size_t i = 0; i < 2 * ring_.size() && chosen < wanted; ++i) {
       Backend& b = *ring_[(i + static_cast<std::size_t>(place_ * all)) % ring_.size()].second;
+      const bool far = own != ring_.end() && !Near(b) && Fraction(b.hash ^ salt_) > kFarShare;
+      if (b.mine || (far && i < ring_.size())) continue;
       b.mine = true;
       chosen += !b.suspect;
     }
   }
+  bool Near(const Backend& b) const { return b.info.zone == set_.zone; }
 
   void Learn(const Server& s) {
     const auto [entry, added] = servers_.try_emplace(s.id);
@@ -427,8 +433,7 @@
     const double pooled = sharers_ > kManySharers && b.kind->latency > 0 ? kPooled : 0;
     const double own = std::min(1.0 * b.samples, 1 / kFast), all = own + pooled;
     const double latency = (own * b.latency + pooled * b.kind->latency) / std::max(1.0, all);
-    const double crossing = b.info.zone == set_.zone ? 1 : kCrossing;
-    return crossing * (b.in_flight + 1) * (all > 0 ? latency : std::max(1.0, Median()));
+    return (Near(b) ? 1 : kCrossing) * (b.in_flight + 1) * (all > 0 ? latency : std::max(1.0, Median()));
   }
 
   // Rule 2: a keyed request that may have run stays with the servers that drop its repeats.
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -156,9 +156,10 @@
   Counts counts_;
   Millis counted_at_ = kNever;
   std::vector<std::pair<double, Backend*>> ring_;
-  double place_ = 0;    // of this gateway on the ring of servers
-  double sharers_ = 1;  // gateways that use each server
-  double used_ = 0;     // servers that this one wants to use
+  double place_ = 0;        // of this gateway on the ring of servers
+  std::uint64_t salt_ = 0;  // its own, by which it draws servers of other zones
+  double sharers_ = 1;      // gateways that use each server
+  double used_ = 0;         // servers that this one wants to use
 
   Flow* Find(const std::string& id) {
     const auto found = flows_.find(id);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -997,6 +997,32 @@
   EXPECT_GT(used.size(), 30u);
 }
 
+// Crossings are priced; but no server may be left to few gateways, or to many, for where it stands.
+TEST(Subset, HoldsMoreOfItsOwnZoneAndLoadsTheServersAlike) {
+  Settings s = MakeSettings();
+  s.gateways = 99;
+  auto fleet = Fleet(60);
+  for (int i = 0; i < 60; ++i) fleet[i].zone = "z" + std::to_string(i / 20);
+  std::map<std::string, int> taken;
+  int near = 0, all = 0;
+  for (s.index = 0; s.index < s.gateways; ++s.index) {
+    s.zone = "z" + std::to_string(s.index % 3);
+    Gateway g(s, s.index);
+    g.List(fleet);
+    for (const auto& [id, n] : g.Serve(100, 50)) {
+      taken[id] += n;
+      all += n;
+      near += std::stoi(id.substr(1)) / 20 == s.index % 3 ? n : 0;
+    }
+  }
+  EXPECT_GT(near, 0.7 * all);
+  EXPECT_LT(near, 0.9 * all);
+  EXPECT_EQ(taken.size(), 60u);
+  const auto more = [](const auto& x, const auto& y) { return x.second < y.second; };
+  EXPECT_LT(std::max_element(taken.begin(), taken.end(), more)->second, 2.0 * all / 60);
+  EXPECT_GT(std::min_element(taken.begin(), taken.end(), more)->second, 0.4 * all / 60);
+}
+
 TEST(Subset, IsHalfAsLargeWhereConnectionsStayOpen) {
   Settings s = MakeSettings();
   s.gateways = 100;
