Let a list older than the known one change nothing

Such an answer is a failed call now, logged as one, with the same pauses; after SIGHUP moved discovery the first list is taken whatever its number, for another service counts anew.

--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -170,6 +170,12 @@
   if (answer.result() != http::status::ok) return Fail(call, "status " + std::to_string(answer.result_int()));
   auto list = ParseHostList(answer.body());
   if (!list) return Fail(call, "not a list of hosts");
+  // A replica that lags would bring back hosts that are gone. Another service counts anew.
+  if (list->revision < revision_ && !moved_) {
+    return Fail(call,
+                "revision " + std::to_string(list->revision) + " is older than " + std::to_string(revision_));
+  }
+  moved_ = false;
   Say(*call, "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
                  (list->complete ? " hosts, the whole list" : " hosts changed"));
   call->timer.cancel();
@@ -214,7 +220,7 @@
   Drop();
   pause_.cancel();
   address_ = address;
-  watching_ = true;
+  moved_ = watching_ = true;
   Ask();
 }
 
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -67,6 +67,7 @@
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
   boost::asio::steady_timer pause_;
   bool watching_ = false;
+  bool moved_ = false;      // and not heard from there yet
   Millis quiet_until_ = 0;  // no line on a call is logged before
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -449,6 +449,9 @@
   EXPECT_NE(asked(6).find("after=42&"), std::string::npos);
   discovery.requests[5].Answer(200, List(44, true, {Member("h0", world.host().address())}).dump());
   EXPECT_NE(asked(7).find("after=44&"), std::string::npos);
+  discovery.requests[6].Answer(200, List(43, true, {}).dump());  // older: changes nothing
+  EXPECT_NE(asked(8).find("after=44&"), std::string::npos);
+  EXPECT_EQ(world.Vars().at("pool_size"), 1);
 }
 
 // Guards the memory: the extension of a chunk's head may be of any length, and must not be kept whole.
