Let the policy say when a failed watch on pushed lists is made again

Found by reading, this site asks: where lists are pushed Gateway::ListFailed came back after 200 ms, at the same time in every gateway and as often as it failed. Now the policy's own pauses hold there, too: drawn, doubling, longer where many gateways ask.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -167,7 +167,7 @@
   Millis delay = 0;
   std::string name;
 };
-// Subscribe to changes of the server list; answered by ServerNews. Only in ask mode.
+// Subscribe to changes of the server list; answered by ServerNews. In ask mode, or after a failed call.
 struct Watch {};
 // A line for the gateway's log.
 struct Log {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,7 +26,6 @@
 constexpr Millis kAnswerAll = 3300;  // after SIGTERM: all deadlines are over, SIGKILL comes at 3,700 or later
 constexpr Millis kMostUpload = 1200000;    // a body of the full size at the least rate
 constexpr Millis kFlush = 200;             // for the last answers to leave
-constexpr Millis kAskAgain = 200;          // where lists are pushed: from a call that failed to the next
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
 constexpr Millis kOverlap = 11000;         // both processes run for so long at most, where no link tells
@@ -101,7 +100,6 @@
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
       figures_(config.settings),
       stop_(io),
-      ask_again_(io),
       counting_(io),
       overlap_(io),
       shared_(!config.handover.empty() && !inheritance.listener && IsTaken(config.listen)),
@@ -221,17 +219,11 @@
 
 void Gateway::MoveDiscovery(const asio::ip::tcp::endpoint& address) {
   std::fprintf(stderr, "discovery is at %s:%d now\n", address.address().to_string().c_str(), address.port());
-  ask_again_.cancel();
   discovery_.Move(address);
 }
 
 void Gateway::ListFailed() {
-  Report(ServerNews{ServerNews::Kind::kFailed, {}});
-  if (settings_.ask_for_list) return;  // the policy says when to ask again
-  ask_again_.expires_after(Span(kAskAgain));
-  ask_again_.async_wait([this](error_code ec) {
-    if (!ec) discovery_.Watch();
-  });
+  Report(ServerNews{ServerNews::Kind::kFailed, {}});  // the policy says when to ask again
 }
 
 void Gateway::Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -121,7 +121,6 @@
   std::map<std::string, Host> list_;  // draining ones too
   Figures figures_;
   boost::asio::steady_timer stop_;
-  boost::asio::steady_timer ask_again_;
   boost::asio::steady_timer counting_;
   HostPool::Counts counted_;  // as last logged
   int gone_ = 0;              // clients that left unanswered, since then
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "state.hpp"
 
@@ -781,11 +780,11 @@
   void Sweep() {
     Emit(SetTimer{kSweepEvery, "sweep"});
     // Gateways that start together must not ask together, where the list that they were given serves.
-    if (ask_at_ == kNever) ask_at_ = now_ + AskSpread() * Uniform();
-    if (set_.ask_for_list && (now_ >= ask_at_ || (!asked_ && up_ == 0))) {
+    if (ask_at_ == kNever) ask_at_ = set_.ask_for_list ? now_ + AskSpread() * Uniform() : kForever;
+    if (now_ >= ask_at_ || (set_.ask_for_list && !asked_ && up_ == 0)) {
       asked_ = true;
       Emit(Watch{});
-      ask_at_ = std::numeric_limits<Millis>::infinity();
+      ask_at_ = kForever;
     }
     const Millis last = std::exchange(swept_at_, now_);  // before the first nobody was known to be warm
     LearnReference(last == kNever ? 0 : std::min(kLongMemory, now_ - last));
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -22,6 +22,7 @@
 namespace opalswitch {
 
 constexpr Millis kNever = -1e15;
+constexpr Millis kForever = std::numeric_limits<Millis>::infinity();
 
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
