elderhead: a lab that plays fleets of real gateways with faults, and its command

Need: recovery, a list service, shared state and releases are to be proved by several processes with faults between them; the tests' scripted peers show single exchanges only. Change: src/base (strict TOML, histogram, clock), src/lab (schedule, emulated hosts, clients, front, list, links, processes, rules, figures, verdicts, baselines), src/cli (lab, config check, call, version).

--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,211 @@
+// src/cli: `elderhead`, the command for people. Reads arguments and files and calls the subsystems; decides
+// nothing.
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "cli/call.hpp"
+#include "lab/lab.hpp"
+#include "lab/schedule.hpp"
+#include "lab/stand_in.hpp"
+
+namespace {
+
+using namespace elderhead;
+
+constexpr int kHeld = 0, kBroken = 1, kWrongUse = 2, kNotJudged = 3;
+constexpr const char* kExitCodes =
+    "Exit codes: 0 all held, 1 a bound or rule was broken, 2 wrong use, 3 a speed could not be judged.";
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) throw std::runtime_error("can't read '" + path + "'");
+  std::stringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+// This program's own path, and that of a sibling.
+std::filesystem::path Self() { return std::filesystem::read_symlink("/proc/self/exe"); }
+
+// Each emulated host has a socket for each gateway.
+void RaiseDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int RunLab(const std::string& file, lab::RunOptions options, const std::string& json) {
+  const lab::Experiment experiment = lab::ReadExperiment(file);
+  RaiseDescriptors();
+  signal(SIGINT, [](int) { lab::Interrupt(); });
+  signal(SIGTERM, [](int) { lab::Interrupt(); });
+  signal(SIGPIPE, SIG_IGN);
+  options.progress = isatty(STDERR_FILENO) != 0;
+  const lab::Results results = lab::Run(experiment, options);
+  if (options.progress) fmt::print(stderr, "\r{:78}\r", "");
+  if (!json.empty()) {
+    std::ofstream out(json);
+    out << lab::ToJson(results) << '\n';
+    if (!out.flush()) throw std::runtime_error("can't write '" + json + "'");
+  }
+  fmt::print("{}: {}\n", results.experiment, results.about);
+  for (const std::string& line : lab::FaultTimeline(experiment)) fmt::print("  {}\n", line);
+  fmt::print("\n{}\n", lab::Summary(results));
+  for (const lab::Play& play : results.plays) {
+    for (const std::string& breach : play.breaches)
+      fmt::print("{}, seed {}: {}\n", play.variant, play.seed, breach);
+  }
+  int code = kHeld;
+  for (const lab::Verdict& verdict : lab::Judge(experiment, results)) {
+    using Kind = lab::Verdict::Kind;
+    fmt::print("{:10} {}\n",
+               verdict.kind == Kind::kHeld     ? "held"
+               : verdict.kind == Kind::kBroken ? "BROKEN"
+                                               : "not judged",
+               verdict.text);
+    if (verdict.kind == Kind::kBroken) code = kBroken;
+    if (verdict.kind == Kind::kNotJudged && code == kHeld) code = kNotJudged;
+  }
+  return code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"elderhead: a gateway fleet's lab and tools"};
+  app.require_subcommand(1);
+  app.footer(std::string(kExitCodes) + "\nExample: elderhead lab run experiments/steady-3x12.toml");
+  std::function<int()> chosen;
+
+  CLI::App* const lab_command =
+      app.add_subcommand("lab", "Plays fleets with faults on this machine's loopback");
+  lab_command->require_subcommand(1);
+  lab_command->footer("Example: elderhead lab run experiments/gateway-killed.toml --seed 3 --json out.json");
+
+  std::string file, json, other;
+  lab::RunOptions options;
+  options.self = Self().string();
+  options.gateway = (Self().parent_path() / "forkwick").string();
+  CLI::App* const run = lab_command->add_subcommand("run", "Plays an experiment and judges its bounds");
+  run->add_option("FILE", file, "The experiment, see experiments/")->required();
+  run->add_option("--seed", options.seed, "Of the schedule and all draws")->capture_default_str();
+  run->add_option("--repeat", options.repeats, "Plays, each with the next seed")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  run->add_option("--gateway", options.gateway, "Command of the program under test")->capture_default_str();
+  run->add_option("--baseline", options.earlier, "Command of an earlier build, played as 'earlier'");
+  run->add_option("--json", json, "Write all figures and series there");
+  run->add_option("--logs", options.logs, "Keep the processes' logs in this folder");
+  run->footer(std::string(kExitCodes) +
+              "\nExample: elderhead lab run experiments/steady-3x12.toml --repeat 3 --json steady.json");
+  run->callback([&] { chosen = [&] { return RunLab(file, options, json); }; });
+
+  CLI::App* const schedule =
+      lab_command->add_subcommand("schedule", "Prints the arrivals and the timeline of faults");
+  schedule->add_option("FILE", file, "The experiment")->required();
+  schedule->add_option("--seed", options.seed, "Of the schedule")->capture_default_str();
+  schedule->footer("Example: elderhead lab schedule experiments/steady-3x12.toml --seed 2 | sha256sum");
+  schedule->callback([&] {
+    chosen = [&] {
+      const lab::Experiment experiment = lab::ReadExperiment(file);
+      for (const std::string& line : lab::FaultTimeline(experiment)) fmt::print("{}\n", line);
+      lab::Schedule arrivals(experiment, options.seed);
+      while (const auto arrival = arrivals.Next()) fmt::print("{}\n", arrival->ToText());
+      return kHeld;
+    };
+  });
+
+  CLI::App* const compare = lab_command->add_subcommand("compare", "Sets two results side by side");
+  compare->add_option("A", file, "A result of 'lab run --json'")->required();
+  compare->add_option("B", other, "Another")->required();
+  compare->footer("Example: elderhead lab compare before.json after.json");
+  compare->callback([&] {
+    chosen = [&] {
+      fmt::print("{}", lab::Compare(lab::ResultsFromJson(ReadAll(file), file),
+                                    lab::ResultsFromJson(ReadAll(other), other)));
+      return kHeld;
+    };
+  });
+
+  lab::StandIn stand_in;
+  CLI::App* const stand =
+      lab_command->add_subcommand("stand-in", "Serves as the plainest gateway, for the lab's own use");
+  stand->add_option("--policy", stand_in.policy, "How it picks hosts")
+      ->check(CLI::IsMember(lab::StandInPolicies()))
+      ->capture_default_str();
+  stand->add_option("--fault", stand_in.fault, "What it does wrong")
+      ->check(CLI::IsMember(lab::StandInFaults()))
+      ->capture_default_str();
+  stand->footer("Example: elderhead lab run FILE --gateway 'elderhead lab stand-in --fault twice'");
+  stand->callback([&] { chosen = [&] { return lab::ServeStandIn(stand_in); }; });
+
+  CLI::App* const config = app.add_subcommand("config", "Looks at configuration files");
+  config->require_subcommand(1);
+  config->footer("Example: elderhead config check experiments/steady-3x12.toml");
+  CLI::App* const check =
+      config->add_subcommand("check", "Says whether a file is right: an experiment (.toml)");
+  check->add_option("FILE", file, "The file")->required();
+  check->footer("Example: elderhead config check experiments/steady-3x12.toml");
+  check->callback([&] {
+    chosen = [&] {
+      const lab::Experiment e = lab::ReadExperiment(file);
+      fmt::print(
+          "{}: experiment '{}': {} gateways, {} hosts, {:.0f} requests/s of {:.0f}, {} faults, {} bounds\n",
+          file, e.name, e.fleet.gateways, e.HostCount(), e.traffic.rate, e.Capacity(), e.faults.size(),
+          e.bounds.size());
+      return kHeld;
+    };
+  });
+
+  std::string address, call;
+  CLI::App* const operators =
+      app.add_subcommand("call", "Calls a gateway where its operators do (NODE_MGMT)");
+  operators->add_option("ADDRESS", address, "Address and port")->required();
+  operators->add_option("CALL", call, "What to ask")
+      ->required()
+      ->check(CLI::IsMember({"check", "vars", "drain-on", "drain-off"}));
+  operators->footer(
+      "Exit codes: 0 SUCCESS or figures, 1 FAILURE or no answer, 2 wrong use.\nExample: elderhead call "
+      "127.0.0.1:3001 check");
+  operators->callback([&] {
+    chosen = [&] {
+      const cli::CallAnswer answer = cli::Call(address, call);
+      fmt::print("{}", answer.text);
+      return answer.success ? kHeld : kBroken;
+    };
+  });
+
+  CLI::App* const version = app.add_subcommand("version", "Prints the version");
+  version->callback([&] {
+    chosen = [] {
+      fmt::print("elderhead {}\n", ELDERHEAD_VERSION);
+      return kHeld;
+    };
+  });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kHeld : kWrongUse;
+  }
+  try {
+    return chosen();
+  } catch (const base::ConfigError& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kWrongUse;
+  } catch (const cli::CallFailure& error) {
+    fmt::print(stderr, "elderhead: {}\n", error.what());
+    return kBroken;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "elderhead: {}\n", error.what());
+    return kWrongUse;
+  }
+}
--- /dev/null
+++ b/src/lab/http.hpp
@@ -0,0 +1,125 @@
+// HTTP/1.1 as the lab's parties speak it, over Beast: one request at a time on a connection.
+#ifndef ELDERHEAD_LAB_HTTP_HPP_
+#define ELDERHEAD_LAB_HTTP_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/link.hpp"
+
+namespace elderhead::lab {
+
+using tcp = boost::asio::ip::tcp;
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+HttpResponse MakeResponse(unsigned status, std::string body = {});
+
+// The server's end of a connection.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  struct Handlers {
+    std::function<void(const std::shared_ptr<ServerConnection>&, HttpRequest)>
+        request;                                                           // whole; Answer() it once
+    std::function<void(const std::shared_ptr<ServerConnection>&)> closed;  // by the peer or by Close(); once
+  };
+  // `link` may be null; else it outlives the connection.
+  ServerConnection(tcp::socket socket, Link* link, std::shared_ptr<const Handlers> handlers);
+
+  void Begin();
+  // `passes`, where given, is called when the answer passes the link, just before it is written.
+  void Answer(HttpResponse response, std::function<void()> passes = {});
+  void Close(bool reset = false);
+  bool open() const { return open_; }
+  int requests() const { return requests_; }
+  // Since when no request is on; nothing while one is.
+  std::optional<Millis> idle_since() const { return answering_ ? std::nullopt : std::optional(idle_since_); }
+  std::uint64_t tag = 0;  // the owner's
+
+ private:
+  void Read();
+  void Watch();
+
+  tcp::socket socket_;
+  Link* const link_;
+  const std::shared_ptr<const Handlers> handlers_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  HttpResponse response_;
+  int requests_ = 0;
+  Millis idle_since_ = Now();
+  bool open_ = true, answering_ = false, keep_ = true;
+};
+
+// Accepts connections at one address. Behind a cut link new ones never come up.
+class Listener {
+ public:
+  using Accepted = std::function<void(tcp::socket)>;
+  // Throws std::runtime_error if it can't listen.
+  Listener(boost::asio::io_context& io, const tcp::endpoint& address, Link* link, Accepted accepted);
+  ~Listener();
+
+ private:
+  void Accept();
+  void Hush(bool silent);
+
+  boost::asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  Link* const link_;
+  const Accepted accepted_;
+  bool silent_ = false;
+  std::vector<tcp::socket> stuffing_;  // fill the kernel's queue, so that it drops further calls
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+// The client's end. One exchange at a time; a connection that failed is of no further use.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  enum class Failure { kNone, kNoConnection, kNoAnswer, kBroken, kGivenUp };
+  struct Result {
+    Failure failure = Failure::kNone;
+    HttpResponse response;
+  };
+  using Done = std::function<void(Result)>;
+
+  ClientConnection(boost::asio::io_context& io, tcp::endpoint to) : socket_(io), timer_(io), to_(to) {}
+
+  // Connects first where it has not yet. `written`, where given, is called when the last byte has left. Gives
+  // up after `patience`.
+  void Exchange(std::string request, Millis patience, Done done, std::function<void()> written = {});
+  void Close();
+  bool usable() const { return open_ && !done_; }
+  bool fresh() const { return exchanges_ == 0; }
+  int exchanges() const { return exchanges_; }
+  const tcp::endpoint& to() const { return to_; }
+
+  // Tells when the peer closes while no exchange is on; until the next Exchange().
+  void WatchIdle(std::function<void()> closed);
+
+ private:
+  void Write();
+  void Finish(Failure failure);
+
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  const tcp::endpoint to_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::string request_;
+  Done done_;
+  std::function<void()> written_;
+  bool open_ = true, connected_ = false;
+  int exchanges_ = 0;
+};
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_HTTP_HPP_
--- /dev/null
+++ b/src/lab/play.cpp
@@ -0,0 +1,348 @@
+// One play: the parties, the timeline of faults, and the figures at its end.
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+
+#include "lab/clients.hpp"
+#include "lab/gateways.hpp"
+#include "lab/hosts.hpp"
+#include "lab/lab.hpp"
+#include "lab/list_service.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+using boost::system::error_code;
+
+constexpr Millis kReadyWithin = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
+constexpr Millis kFirst = 300;          // from the gateways' yes to the first arrival
+constexpr Millis kTick = 50;
+constexpr double kMostUnheard = 1.0 / 200;  // STANDING: beyond this share they are lost
+
+std::atomic<bool> interrupted{false};
+
+double UnixMillis() {
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+Millis OwnCpu() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto ms = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_usec) / 1000;
+  };
+  return ms(usage.ru_utime) + ms(usage.ru_stime);
+}
+
+// A folder that goes with its owner.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string path = (std::filesystem::temp_directory_path() / "elderhead-lab-XXXXXX").string();
+    if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("can't make a folder like " + path);
+    path_ = path;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+// All parties of one play of one variant.
+class Stage {
+ public:
+  Stage(const Experiment& experiment, std::string variant, std::string command, std::uint64_t seed,
+        const std::string& logs, bool progress)
+      : e_(experiment),
+        progress_(progress),
+        direct_(variant == "direct"),
+        addresses_(io_),
+        rules_(experiment.fleet.max_attempts, experiment.fleet.drain_grace),
+        recorder_(experiment),
+        tick_(io_) {
+    play_.variant = std::move(variant);
+    play_.seed = seed;
+    rules_.SetSeed(seed);
+    const int gateways = direct_ ? 1 : e_.fleet.gateways;
+    for (int g = 0; g < gateways; ++g) {
+      list_links_.push_back(std::make_unique<Link>(io_));
+      for (int h = 0; h < e_.HostCount(); ++h) host_links_[{g, h}] = std::make_unique<Link>(io_);
+    }
+    hosts_ = std::make_unique<Hosts>(
+        Hosts::Setting{io_, e_, addresses_, rules_,
+                       [this](int g, int h) {
+                         return host_links_.at({g, h}).get();
+                       },
+                       [this](int g, int h) { return direct_ ? -1 : list_->Told(g, h); }, seed, gateways});
+    std::vector<ListService::Member> members;
+    for (int h = 0; h < hosts_->count(); ++h) {
+      members.push_back({fmt::format("s-{:04x}", h), hosts_->zone(h), hosts_->kind(h).name, "up", 1.0, 0, 1});
+    }
+    list_ = std::make_unique<ListService>(
+        ListService::Setting{io_, addresses_, direct_ ? 0 : gateways, e_.fleet.list_delay,
+                             [this](int g) { return list_links_[static_cast<std::size_t>(g)].get(); }},
+        std::move(members));
+    if (!direct_) {
+      std::vector<std::string> known;
+      for (int g = 0; g < gateways; ++g) known.push_back(list_->Whole(g));
+      gateways_ = std::make_unique<Gateways>(Gateways::Setting{
+          io_, e_, addresses_, rules_, std::move(command), seed, folder_.path(), logs,
+          [known](int g) { return known[static_cast<std::size_t>(g)]; }, [this](int g) { list_->Forget(g); },
+          [this](const std::string& what) { Note(what); }});
+    }
+    clients_ = std::make_unique<Clients>(Clients::Setting{
+        io_, e_, rules_, recorder_, seed, direct_ ? hosts_->count() : gateways,
+        [this](int t) { return direct_ ? addresses_.Host(0, t) : addresses_.Gateway(t); },
+        [this](int t) {
+          return direct_ ? t % static_cast<int>(e_.fleet.zones.size()) : gateways_->ZoneOf(t);
+        },
+        [this](int t, Millis now) { return direct_ || gateways_->Deals(t, now); },
+        [this](int t, Millis since) { return !direct_ && gateways_->Excused(t, since); },
+        [this](int t, Millis sent) { Answered(t, sent); }});
+  }
+
+  Play Run() {
+    began_ = Now();
+    cpu_before_ = OwnCpu();
+    if (gateways_) gateways_->StartAll();
+    Tick();
+    io_.run();
+    if (gateways_) gateways_->EndAll();
+    Write();
+    return std::move(play_);
+  }
+
+ private:
+  void Note(const std::string& what) {
+    play_.events.emplace_back(start_ < 0 ? Now() - began_ - 1e6 : Now() - start_, what);
+  }
+
+  void End(const std::string& failure) {
+    play_.failure = failure;
+    io_.stop();
+  }
+
+  // Every 50 ms: whether to begin, and whether it is over.
+  void Tick() {
+    const Millis now = Now();
+    if (interrupted) return End("interrupted");
+    if (now > began_ + e_.ends_within) {
+      return End(fmt::format("not over within {:g} s: {} requests were still out", e_.ends_within / 1000,
+                             clients_->waiting()));
+    }
+    if (start_ < 0) {
+      if (!gateways_ || gateways_->AllReady()) {
+        Begin(now + kFirst);
+      } else if (now > began_ + kReadyWithin) {
+        return End(gateways_->NotReady() + fmt::format(" after {:g} s", kReadyWithin / 1000));
+      }
+    } else if (clients_->done()) {
+      return io_.stop();
+    }
+    if (progress_ && now > progress_at_) {
+      progress_at_ = now + 1000;
+      std::fprintf(stderr, "\r%-14s seed %llu: %5.1f of %.0f s, %llu requests, %zu out   ",
+                   play_.variant.c_str(), static_cast<unsigned long long>(play_.seed),
+                   std::max(0.0, start_ < 0 ? 0 : now - start_) / 1000, e_.traffic.seconds / 1000,
+                   static_cast<unsigned long long>(recorder_.arrived()), clients_->waiting());
+    }
+    tick_.expires_after(Span(kTick));
+    tick_.async_wait([this](error_code ec) {
+      if (!ec) Tick();
+    });
+  }
+
+  void Begin(Millis start) {
+    start_ = start;
+    clients_->Begin(start);
+    first_answers_.assign(e_.faults.size(), -1);
+    if (direct_) return;
+    for (std::size_t i = 0; i < e_.faults.size(); ++i) {
+      const Fault& fault = e_.faults[i];
+      At(start + fault.at, [this, &fault] {
+        Note(fault.text);
+        Strike(fault);
+      });
+      if (fault.lasts > 0) {
+        At(start + fault.at + fault.lasts, [this, &fault] {
+          Note("end of " + fault.text);
+          Relieve(fault);
+        });
+      }
+    }
+  }
+
+  void At(Millis time, std::function<void()> what) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(io_, Span(time - Now()));
+    timer->async_wait([timer, what = std::move(what)](error_code ec) {
+      if (!ec) what();
+    });
+  }
+
+  void Strike(const Fault& fault) {
+    for (const int g : fault.gateways) {
+      if (fault.kind == FaultKind::kKill) gateways_->Kill(g, fault.lasts);
+      if (fault.kind == FaultKind::kStop) gateways_->Stop(g);
+      if (fault.kind == FaultKind::kTerm) gateways_->Terminate(g, fault.lasts);
+      if (fault.kind == FaultKind::kReplace) gateways_->Replace(g);
+      if (fault.kind == FaultKind::kCut) {
+        for (const int h : fault.hosts) host_links_.at({g, h})->Cut(true, true);
+      }
+      if (fault.kind == FaultKind::kDelay) Delay(g, fault.size);
+    }
+    if (fault.kind == FaultKind::kCut) return;
+    for (const int h : fault.hosts) {
+      if (fault.kind == FaultKind::kSlow) hosts_->SetSpeed(h, fault.size);
+      if (fault.kind == FaultKind::kFail) hosts_->SetErrors(h, fault.size);
+      if (fault.kind == FaultKind::kMute) hosts_->SetMute(h, true);
+      if (fault.kind == FaultKind::kHostKill) {
+        hosts_->Kill(h);
+        list_->Change(h, "removed", 0);
+      }
+      if (fault.kind == FaultKind::kHostDrain) list_->Change(h, "draining", 0);
+    }
+    if (fault.kind == FaultKind::kListDown) list_->SetDown(true);
+    if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, true);
+  }
+
+  void Relieve(const Fault& fault) {
+    for (const int g : fault.gateways) {
+      if (fault.kind == FaultKind::kStop) gateways_->Continue(g);
+      if (fault.kind == FaultKind::kCut) {
+        for (const int h : fault.hosts) host_links_.at({g, h})->Heal(true, true);
+      }
+      if (fault.kind == FaultKind::kDelay) Delay(g, -fault.size);
+    }
+    if (fault.kind == FaultKind::kCut) return;
+    for (const int h : fault.hosts) {
+      if (fault.kind == FaultKind::kSlow) hosts_->SetSpeed(h, 1);
+      if (fault.kind == FaultKind::kFail) hosts_->SetErrors(h, hosts_->kind(h).errors);
+      if (fault.kind == FaultKind::kMute) hosts_->SetMute(h, false);
+      if (fault.kind == FaultKind::kHostKill) {
+        hosts_->Start(h);
+        list_->Change(h, "up", UnixMillis());
+      }
+      if (fault.kind == FaultKind::kHostDrain) {
+        hosts_->SetDraining(h, true);
+        list_->Change(h, "removed", 0);
+      }
+    }
+    if (fault.kind == FaultKind::kListDown) list_->SetDown(false);
+    if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, false);
+  }
+
+  void Delay(int gateway, Millis more) {
+    for (int h = 0; h < hosts_->count(); ++h) host_links_.at({gateway, h})->AddDelay(more);
+    list_links_[static_cast<std::size_t>(gateway)]->AddDelay(more);
+  }
+
+  // The list service lives in the first zone.
+  void CutZone(const std::string& zone, bool cut) {
+    const auto change = [cut](Link& link) { cut ? link.Cut(true, true) : link.Heal(true, true); };
+    for (int g = 0; g < gateways_->count(); ++g) {
+      const bool inside = e_.fleet.zones[static_cast<std::size_t>(gateways_->ZoneOf(g))] == zone;
+      for (int h = 0; h < hosts_->count(); ++h) {
+        if (inside != (hosts_->zone(h) == zone)) change(*host_links_.at({g, h}));
+      }
+      if (inside != (e_.fleet.zones.front() == zone)) change(*list_links_[static_cast<std::size_t>(g)]);
+    }
+  }
+
+  // From a fault to a gateway to the first answer that a client has of it afterwards.
+  void Answered(int target, Millis sent) {
+    const Millis now = Now();
+    for (std::size_t i = 0; i < e_.faults.size(); ++i) {
+      const Fault& fault = e_.faults[i];
+      if (first_answers_[i] >= 0 || sent < start_ + fault.at) continue;
+      for (const int g : fault.gateways) {
+        if (g == target) first_answers_[i] = now - start_ - fault.at;
+      }
+    }
+  }
+
+  void Write() {
+    recorder_.Write(play_);
+    auto& f = play_.figures;
+    const auto unheard = static_cast<double>(clients_->unheard());
+    const double requests = std::max(1.0, static_cast<double>(recorder_.arrived()));
+    for (const auto& [name, count] : rules_.broken().Named()) f[name] = static_cast<double>(count);
+    f["lost"] += std::max(0.0, std::floor(unheard - kMostUnheard * requests));
+    f["unheard"] = unheard;
+    f["excused"] = static_cast<double>(clients_->excused());
+    f["unplaced"] = static_cast<double>(clients_->unplaced());
+    f["client_tries"] = static_cast<double>(clients_->tries());
+    const Hosts::Counts& h = hosts_->counts();
+    f["attempts_per_request"] = static_cast<double>(h.reached) / requests;
+    f["turned_away"] = static_cast<double>(h.turned_away);
+    f["host_connections"] = static_cast<double>(h.connections);
+    f["list_calls"] = static_cast<double>(list_->calls());
+    if (gateways_) {
+      f["cpu_us_per_request"] = gateways_->cpu() * 1000 / requests;
+      if (gateways_->cpu() > 0) f["core_requests_per_s"] = requests * 1000 / gateways_->cpu();
+      f["rss_mb"] = gateways_->most_memory_mb();
+    }
+    f["lab_cpu_us_per_request"] = (OwnCpu() - cpu_before_) * 1000 / requests;
+    for (std::size_t i = 0; i < first_answers_.size(); ++i) {
+      if (first_answers_[i] >= 0) f[fmt::format("first_answer_ms/{}", i + 1)] = first_answers_[i];
+    }
+    play_.breaches = rules_.examples();
+  }
+
+  const Experiment& e_;
+  const bool progress_, direct_;
+  boost::asio::io_context io_{1};
+  Play play_;
+  TemporaryFolder folder_;
+  Addresses addresses_;
+  std::map<std::pair<int, int>, std::unique_ptr<Link>> host_links_;
+  std::vector<std::unique_ptr<Link>> list_links_;
+  Rules rules_;
+  Recorder recorder_;
+  std::unique_ptr<ListService> list_;
+  std::unique_ptr<Hosts> hosts_;
+  std::unique_ptr<Gateways> gateways_;
+  std::unique_ptr<Clients> clients_;
+  boost::asio::steady_timer tick_;
+  Millis began_ = 0, start_ = -1, cpu_before_ = 0, progress_at_ = 0;
+  std::vector<Millis> first_answers_;
+};
+
+}  // namespace
+
+void Interrupt() { interrupted = true; }
+
+Results Run(const Experiment& experiment, const RunOptions& options) {
+  std::vector<std::pair<std::string, std::string>> variants{{"gateway", options.gateway}};
+  if (!options.earlier.empty()) variants.emplace_back("earlier", options.earlier);
+  for (const std::string& name : experiment.baselines) {
+    variants.emplace_back(name, options.self + " lab stand-in --policy " + name);
+  }
+  Results results{experiment.name, experiment.about, {}};
+  for (int k = 0; k < options.repeats; ++k) {
+    const std::uint64_t seed = options.seed + static_cast<std::uint64_t>(k);
+    for (const auto& [name, command] : variants) {
+      std::string logs;
+      if (!options.logs.empty()) {
+        logs = fmt::format("{}/{}-{}-{}", options.logs, experiment.name, seed, name);
+        std::filesystem::create_directories(logs);
+      }
+      results.plays.push_back(Stage(experiment, name, command, seed, logs, options.progress).Run());
+      if (interrupted) return results;
+    }
+  }
+  return results;
+}
+
+}  // namespace elderhead::lab
