--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,457 @@
+// The lab without sockets: schedules, the emulated host against closed forms, the rules, figures, files. And
+// the lab as a program: that it catches gateways that do wrong.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "base/histogram.hpp"
+#include "lab/host_model.hpp"
+#include "lab/recorder.hpp"
+#include "lab/results.hpp"
+#include "lab/rules.hpp"
+#include "lab/schedule.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+const std::string kSmall = R"(name = "small"
+baselines = ["random"]
+[fleet]
+gateways = 2
+zones = ["a", "b"]
+[[hosts]]
+count = 4
+[[classes]]
+name = "look"
+share = 0.8
+work_ms = 20
+[[classes]]
+name = "pay"
+share = 0.2
+work_ms = 40
+repeatable = false
+)";
+
+Experiment Parse(const std::string& more) { return ParseExperiment(kSmall + more, "test.toml"); }
+
+std::string Lines(const Experiment& e, std::uint64_t seed) {
+  std::string text;
+  for (const std::string& line : FaultTimeline(e)) text += line + "\n";
+  Schedule schedule(e, seed);
+  while (const auto arrival = schedule.Next()) text += arrival->ToText() + "\n";
+  return text;
+}
+
+TEST(Schedule, IsFixedByTheSeedAndOnlyByIt) {
+  for (const std::string arrivals : {"poisson", "bursty"}) {
+    const Experiment e = Parse("[traffic]\nrate = 200\nseconds = 20\narrivals = \"" + arrivals +
+                               "\"\n[[faults]]\nwhat = \"kill\"\ngateway = \"1\"\nat_s = 3\nfor_s = 1\n");
+    EXPECT_EQ(Lines(e, 7), Lines(e, 7));
+    EXPECT_NE(Lines(e, 7), Lines(e, 8));
+  }
+}
+
+TEST(Schedule, HasTheStatedRateSharesAndBursts) {
+  struct Case {
+    const char* arrivals;
+    double spread;  // of the count in windows of 1 s, over that of Poisson
+  };
+  for (const Case& c : {Case{"poisson", 1}, Case{"bursty", 5}}) {
+    const Experiment e =
+        Parse(std::string("[traffic]\nrate = 500\nseconds = 400\nburst_factor = 3\narrivals = \"") +
+              c.arrivals + "\"\n");
+    Schedule schedule(e, 3);
+    std::vector<double> windows(400);
+    double count = 0, pay = 0, work = 0;
+    while (const auto arrival = schedule.Next()) {
+      ++count;
+      pay += arrival->class_index;
+      work += arrival->work;
+      ++windows[static_cast<std::size_t>(arrival->at / 1000)];
+    }
+    EXPECT_NEAR(count / 400, 500, c.spread * 10);
+    EXPECT_NEAR(pay / count, 0.2, 0.01);
+    EXPECT_NEAR(work / count, 24, 0.5);
+    double squares = 0;
+    for (const double w : windows) squares += (w - count / 400) * (w - count / 400) / 400;
+    EXPECT_GT(squares / 500, c.spread * 0.8) << c.arrivals;
+    EXPECT_LT(squares / 500, c.spread == 1 ? 1.25 : 1000);
+  }
+}
+
+TEST(Schedule, BurstsMultiplyTheRateWhileTheyLast) {
+  const Experiment e = Parse(
+      "[traffic]\nrate = 1000\nseconds = 30\n[[faults]]\nwhat = \"burst\"\nat_s = 10\nfor_s = 10\nsize = "
+      "3\n");
+  Schedule schedule(e, 1);
+  double in = 0, out = 0;
+  while (const auto arrival = schedule.Next()) ++(arrival->at >= 10000 && arrival->at < 20000 ? in : out);
+  EXPECT_NEAR(in, 30000, 800);
+  EXPECT_NEAR(out, 20000, 700);
+}
+
+// Mean wait before service of M/M/c at this load, over the mean service time (Erlang C).
+double ErlangWait(int c, double load) {
+  const double a = load * c;
+  double term = 1, sum = 1;
+  for (int k = 1; k < c; ++k) sum += term *= a / k;
+  const double last = term * a / c / (1 - load);
+  return last / (sum + last) / (c * (1 - load));
+}
+
+TEST(HostModel, WaitsAsMMcDoes) {
+  for (const int cores : {1, 2, 4}) {
+    for (const double load : {0.5, 0.8, 0.9}) {
+      HostKind kind;
+      kind.cores = kind.slots = cores;
+      kind.waiting = 1 << 20;
+      HostModel host(kind, {}, std::nullopt);
+      boost::random::mt19937_64 random(17);
+      boost::random::exponential_distribution<double> gap(load * cores), work(1);
+      std::unordered_map<HostModel::Job, Millis> came;
+      std::vector<HostModel::Event> events;
+      double now = 0, waited = 0, begun = 0;
+      const auto settle = [&](Millis until) {  // as a timer would: at each time that it names
+        while (host.NextAt() && *host.NextAt() <= until) {
+          const Millis at = *host.NextAt();
+          events.clear();
+          host.Advance(at, events);
+          for (const auto& event : events) {
+            if (event.kind != HostModel::EventKind::kBegun) continue;
+            waited += at - came[event.job];
+            ++begun;
+            came.erase(event.job);
+          }
+        }
+      };
+      for (HostModel::Job job = 1; job <= 1500000; ++job) {
+        now += gap(random);
+        settle(now);
+        came[job] = now;
+        host.Offer(now, job, work(random), 1e12);
+        settle(now);
+      }
+      EXPECT_NEAR(waited / begun / ErlangWait(cores, load), 1, 0.05) << cores << " cores at " << load;
+    }
+  }
+}
+
+TEST(HostModel, SharesItsCoresAndTurnsAwayWhatFindsNoPlace) {
+  HostKind kind;
+  kind.slots = 2;
+  kind.waiting = 1;
+  HostModel host(kind, {}, std::nullopt);
+  EXPECT_EQ(host.Offer(0, 1, 10, 1000), HostModel::Fate::kInWork);
+  EXPECT_EQ(host.Offer(0, 2, 20, 1000), HostModel::Fate::kInWork);
+  EXPECT_EQ(host.Offer(0, 3, 10, 25), HostModel::Fate::kWaiting);
+  EXPECT_EQ(host.Offer(0, 4, 10, 1000), HostModel::Fate::kTurnedAway);
+  std::vector<HostModel::Event> events;
+  host.Advance(100, events);
+  std::vector<std::pair<HostModel::Job, HostModel::EventKind>> ends;
+  for (const auto& event : events) {
+    if (event.kind != HostModel::EventKind::kBegun) ends.emplace_back(event.job, event.kind);
+  }
+  using Kind = HostModel::EventKind;
+  // 1 is done at 20, sharing; then 3 begins and its time is over at 25; 2 is done at 32.5.
+  EXPECT_EQ(ends, (std::vector<std::pair<HostModel::Job, Kind>>{
+                      {1, Kind::kDone}, {3, Kind::kExpired}, {2, Kind::kDone}}));
+}
+
+TEST(HostModel, WarmsEvenlyAndFallsOverWhenSentTooMuch) {
+  HostKind kind;
+  kind.slots = 1000;
+  const ColdStart cold{0.2, 10000, 2.5, 3000};
+  HostModel host(kind, {0.2, 10000, 1e9, 3000}, 0.0);
+  std::vector<HostModel::Event> events;
+  host.Offer(0, 1, 6000, 1e9);  // the integral of the warmth over the first 10 s
+  host.Advance(0, events);
+  EXPECT_NEAR(*host.NextAt(), 10000, 0.01);
+  struct Case {
+    double part;  // of what a cold host is allowed
+    bool falls;
+  };
+  for (const Case& c : {Case{0.9, false}, Case{1.3, true}}) {
+    HostModel cold_host(kind, cold, 0.0);
+    const double allowed = 2.5 * 0.2 * 3000;
+    for (int i = 0; i < 10; ++i)
+      cold_host.Offer(i, static_cast<HostModel::Job>(i), c.part * allowed / 10, 1e9);
+    EXPECT_EQ(cold_host.fallen(), c.falls) << c.part;
+  }
+}
+
+// Whatever comes in whatever order, each request ends once, and work is neither made nor lost.
+TEST(HostModel, EndsEachRequestOnce) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    boost::random::mt19937_64 random(seed);
+    const auto draw = [&](int most) { return boost::random::uniform_int_distribution<int>(0, most)(random); };
+    HostKind kind;
+    kind.cores = 1 + draw(3);
+    kind.slots = 1 + draw(8);
+    kind.waiting = draw(10);
+    kind.thrash = draw(1) * 0.05;
+    HostModel host(kind, {}, draw(1) ? std::optional<Millis>(0) : std::nullopt);
+    std::map<HostModel::Job, int> open;
+    std::vector<HostModel::Event> events;
+    Millis now = 0;
+    for (HostModel::Job job = 1; job <= 2000; ++job) {
+      now += draw(20);
+      events.clear();
+      host.Advance(now, events);
+      for (const auto& event : events) {
+        if (event.kind == HostModel::EventKind::kBegun) continue;
+        EXPECT_EQ(open.erase(event.job), 1U) << "seed " << seed;
+      }
+      if (!open.empty() && draw(9) == 0) {
+        host.Cancel(now, open.begin()->first);
+        open.erase(open.begin());
+      }
+      if (draw(99) == 0) host.SetSpeed(now, 0.1 + draw(10));
+      if (host.Offer(now, job, 1 + draw(60), now + draw(500)) != HostModel::Fate::kTurnedAway) open[job] = 1;
+    }
+    events.clear();
+    host.Advance(now + 1e6, events);
+    for (const auto& event : events) {
+      if (event.kind != HostModel::EventKind::kBegun) open.erase(event.job);
+    }
+    EXPECT_TRUE(open.empty()) << "seed " << seed;
+    EXPECT_EQ(host.held(), 0U) << "seed " << seed;
+  }
+}
+
+TEST(Rules, NamesEachBreach) {
+  struct Case {
+    const char* rule;
+    std::function<void(Rules&)> breach;
+  };
+  const std::vector<Case> cases{
+      {"ran_twice", [](Rules& r) { r.Asked(0, "p", false, 1), r.Began(1, "p"), r.Began(2, "p"); }},
+      {"attempts_over",
+       [](Rules& r) {
+         for (int i = 0; i < 3; ++i) r.Reached(i, "s", -1);
+       }},
+      {"unknown", [](Rules& r) { r.Reached(0, "nobody", -1); }},
+      {"late_sends", [](Rules& r) { r.Reached(1000, "s", 400); }},
+      {"cold_falls", [](Rules& r) { r.Fell("host 1"); }},
+      {"forged", [](Rules& r) { r.Served("s", "made up"); }},
+      {"lost", [](Rules& r) { r.Lost("s", "never answered"); }},
+      {"crashed", [](Rules& r) { r.Crashed("gateway 0"); }},
+  };
+  for (const Case& c : cases) {
+    Rules rules(3, 500);
+    rules.SetSeed(5);
+    rules.Asked(0, "s", true, 1);
+    rules.Began(1, "s");
+    rules.Began(2, "s");  // may run again
+    rules.Reached(900, "s", 400);
+    rules.Served("s", Rules::Mark("s", 5));
+    for (const auto& [name, count] : rules.broken().Named()) EXPECT_EQ(count, 0U) << name;
+    c.breach(rules);
+    for (const auto& [name, count] : rules.broken().Named())
+      EXPECT_EQ(count, name == c.rule ? 1U : 0U) << name;
+    ASSERT_EQ(rules.examples().size(), 1U);
+    EXPECT_EQ(rules.examples()[0].rfind(c.rule, 0), 0U) << rules.examples()[0];
+  }
+}
+
+TEST(FrontView, TakesInAtAYesAndLetsGoLate) {
+  using Heard = FrontView::Heard;
+  FrontView view(1500);
+  EXPECT_FALSE(view.Deals(0));
+  view.Tell(0, Heard::kYes);
+  EXPECT_TRUE(view.Deals(10));
+  view.Tell(100, Heard::kNo);
+  EXPECT_TRUE(view.Deals(250));
+  EXPECT_FALSE(view.Deals(301));
+  view.Tell(400, Heard::kYes);
+  view.Tell(500, Heard::kNothing);
+  view.Tell(1500, Heard::kNothing);
+  EXPECT_TRUE(view.Deals(1999));
+  EXPECT_FALSE(view.Deals(2001));
+}
+
+TEST(Recorder, MeasuresTheTimeToRecovery) {
+  const Experiment e = Parse(
+      "[traffic]\nrate = 100\nseconds = 20\nwarm_up_s = 1\n[[faults]]\nwhat = \"kill\"\ngateway = "
+      "\"0\"\nat_s = 8\n");
+  Recorder recorder(e);
+  Arrival arrival;
+  for (; arrival.at < 20000; arrival.at += 10) {
+    recorder.Arrived(arrival, 0);
+    const bool failed = arrival.at >= 8000 && arrival.at < 9500;
+    recorder.Ended(arrival, failed ? End::kFailed : End::kInAim, 50);
+  }
+  Play play;
+  recorder.Write(play);
+  EXPECT_NEAR(play.figures["recovery_s/1"], 1.5, 0.11);
+  EXPECT_NEAR(play.figures["missed_in_aim/1"], 150, 1);
+  EXPECT_NEAR(play.figures["p99_ms"], 50, 2);
+  EXPECT_FALSE(play.figures.contains("p999_ms/pay"));  // no request of it: no percentile
+}
+
+TEST(Histogram, KeepsQuantilesWithinAThirtySecond) {
+  boost::random::mt19937_64 random(2);
+  for (const double mean : {3.0, 4e3, 5e7}) {
+    base::Histogram histogram;
+    std::vector<std::uint64_t> values;
+    for (int i = 0; i < 20000; ++i) {
+      values.push_back(
+          static_cast<std::uint64_t>(boost::random::exponential_distribution<double>(1 / mean)(random)));
+      histogram.Add(values.back());
+    }
+    std::sort(values.begin(), values.end());
+    for (const double share : {0.01, 0.5, 0.99, 0.9999}) {
+      const auto exact = static_cast<double>(values[static_cast<std::size_t>(share * 20000) - 1]);
+      EXPECT_NEAR(static_cast<double>(histogram.Quantile(share)), exact, exact / 32 + 0.5)
+          << mean << " " << share;
+    }
+  }
+  EXPECT_EQ(base::Histogram().Quantile(0.5), 0U);
+  EXPECT_FALSE(base::Histogram().Supports(0.5));
+}
+
+TEST(Files, AreReadStrictly) {
+  const std::string traffic = "[traffic]\nrate = 10\nseconds = 5\n";
+  struct Case {
+    std::string text, says;
+  };
+  const std::vector<Case> cases{
+      {kSmall + "[traffic]\nrate = 10\nsecond = 5\n",
+       "test.toml:19:1: unknown key 'second', did you mean 'seconds'?"},
+      {kSmall, "traffic: missing"},
+      {kSmall + "[traffic]\nrate = \"many\"\nseconds = 5\n", "test.toml:18:8: rate: must be a number"},
+      {kSmall + "[traffic]\nrate = -1\nseconds = 5\n", "is not from"},
+      {kSmall + "[traffic]\nrate = 1\nload = 0.5\nseconds = 5\n", "give one of 'rate' and 'load'"},
+      {kSmall + traffic + "[[faults]]\nwhat = \"kil\"\nat_s = 1\n", "did you mean 'kill'?"},
+      {kSmall + traffic + "[[faults]]\nwhat = \"kill\"\nat_s = 1\ngateway = \"2\"\n",
+       "'2' is not within 0 to 1"},
+      {kSmall + traffic + "[[faults]]\nwhat = \"slow_host\"\nat_s = 1\nhost = \"x\"\n",
+       "'x' is not N or N-M"},
+      {kSmall + traffic + "[[bounds]]\nfigure = \"godput\"\nleast = 1\n", "did you mean 'goodput'?"},
+      {kSmall + traffic + "[[bounds]]\nfigure = \"goodput\"\n", "needs 'least' or 'most'"},
+      {kSmall + traffic + "[[bounds]]\nfigure = \"goodput\"\nleast = 1\nover = \"direct\"\n", "is none of"},
+      {"name = \n", "test.toml:1:"},
+  };
+  for (const Case& c : cases) {
+    try {
+      ParseExperiment(c.text, "test.toml");
+      ADD_FAILURE() << "taken, though: " << c.says;
+    } catch (const base::ConfigError& error) {
+      EXPECT_NE(std::string(error.what()).find(c.says), std::string::npos)
+          << error.what() << "\n  lacks: " << c.says;
+    }
+  }
+  EXPECT_EQ(ParseExperiment(kSmall + traffic, "test.toml").HostCount(), 4);
+}
+
+TEST(Results, SurviveTheirFileAndAreJudged) {
+  Experiment e = Parse(
+      "[traffic]\nrate = 10\nseconds = 5\n[[bounds]]\nfigure = \"goodput\"\nover = \"random\"\nleast = 1.1\n"
+      "[[bounds]]\nfigure = \"p99_ms\"\nmost = 5\nspeed = true\n");
+  Results results{"small", "about", {}};
+  for (const auto& [variant, goodput] : {std::pair{"gateway", 0.9}, {"random", 0.8}}) {
+    Play play;
+    play.variant = variant;
+    play.seed = 4;
+    play.figures = {{"goodput", goodput}, {"p99_ms", 9}, {"lateness_p99_ms", 20}, {"lost", 0}};
+    play.windows.push_back({0, 10, 9, 0, 1, 0, 1.5, 2.5});
+    play.events.emplace_back(12.5, "kill");
+    results.plays.push_back(play);
+  }
+  const Results again = ResultsFromJson(ToJson(results), "x");
+  EXPECT_EQ(ToJson(again), ToJson(results));
+  using Kind = Verdict::Kind;
+  const auto kinds = [&] {
+    std::vector<Kind> all;
+    for (const Verdict& verdict : Judge(e, results)) all.push_back(verdict.kind);
+    return all;
+  };
+  // Rules kept, 0.9 / 0.8 is enough, and a lab that ran late blames nobody for the time.
+  EXPECT_EQ(kinds(), (std::vector<Kind>{Kind::kHeld, Kind::kHeld, Kind::kNotJudged}));
+  results.plays[0].figures["lost"] = 1;
+  results.plays[0].figures["lateness_p99_ms"] = 1;
+  EXPECT_EQ(kinds(), (std::vector<Kind>{Kind::kBroken, Kind::kHeld, Kind::kBroken}));
+  results.plays[0].failure = "gateway 0 is not ready";
+  EXPECT_EQ(kinds()[0], Kind::kBroken);
+  EXPECT_THROW(ResultsFromJson("{}", "x"), std::runtime_error);
+}
+
+// The program, with its output.
+std::pair<int, std::string> Elderhead(const std::string& arguments) {
+  std::FILE* const pipe = popen((std::string(ELDERHEAD_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  std::string text;
+  char part[4096];
+  while (const std::size_t got = std::fread(part, 1, sizeof part, pipe)) text.append(part, got);
+  const int status = pclose(pipe);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, text};
+}
+
+TEST(Program, SaysWhatIsWrongAndEndsAsDocumented) {
+  struct Case {
+    const char* arguments;
+    int code;
+    const char* says;
+  };
+  for (const Case& c :
+       {Case{"version", 0, "elderhead "}, Case{"", 2, "subcommand"}, Case{"lab run", 2, "FILE"},
+        Case{"lab run /nowhere.toml", 2, "/nowhere.toml"}, Case{"lab run --help", 0, "Example:"},
+        Case{"call 127.0.0.1:9 check", 1, "127.0.0.1:9"}, Case{"call nobody check", 2, "not an address"},
+        Case{"call 127.0.0.1:9 chek", 2, "chek"}}) {
+    const auto [code, text] = Elderhead(c.arguments);
+    EXPECT_EQ(code, c.code) << c.arguments << "\n" << text;
+    EXPECT_NE(text.find(c.says), std::string::npos) << c.arguments << "\n" << text;
+  }
+}
+
+TEST(Program, ReadsEveryExperimentOfTheRepository) {
+  for (const auto& entry : std::filesystem::directory_iterator(EXPERIMENTS)) {
+    if (entry.path().extension() != ".toml") continue;
+    const auto [code, text] = Elderhead("config check " + entry.path().string());
+    EXPECT_EQ(code, 0) << text;
+  }
+}
+
+// Small faulty stand-ins: the lab names the rule that each breaks, and passes the one that does nothing
+// wrong.
+TEST(Program, CatchesGatewaysThatDoWrong) {
+  const std::string file = ::testing::TempDir() + "mutant.toml";
+  std::string text = kSmall;
+  text.replace(text.find("baselines = [\"random\"]\n"), 23, "ends_within_s = 60\n");
+  std::ofstream(file) << text + R"([traffic]
+rate = 100
+seconds = 5
+warm_up_s = 0
+[[faults]]
+what = "drain_host"
+host = "0"
+at_s = 0.2
+for_s = 4.5
+)";
+  struct Case {
+    const char* fault;
+    const char* rule;
+  };
+  for (const Case& c :
+       {Case{"none", nullptr}, Case{"twice", "ran_twice"}, Case{"ignores_drain", "late_sends"},
+        Case{"loses", "lost"}, Case{"forges", "forged"}, Case{"dies", "crashed"}}) {
+    const auto [code, out] = Elderhead("lab run " + file + " --gateway '" + ELDERHEAD_PROGRAM +
+                                       " lab stand-in --fault " + c.fault + "'");
+    if (c.rule == nullptr) {
+      EXPECT_EQ(code, 0) << out;
+    } else {
+      EXPECT_EQ(code, 1) << c.fault << "\n" << out;
+      EXPECT_NE(out.find(std::string("rule ") + c.rule + " broken"), std::string::npos) << c.fault << "\n"
+                                                                                        << out;
+    }
+  }
+  std::filesystem::remove(file);
+}
+
+}  // namespace
+}  // namespace elderhead::lab
