Gateway: records with time and level or as JSON, Prometheus figures; replacement of its own class

Change: base/log (one write a record, no thread, no new library), histograms of the time to the first attempt, in queue, at the host and in all by class, behind the call 'metrics'; class Replacement with one set of handlers, the same steps in the same order; lab plot (SVG and one HTML report) and the baseline no_fault; config check of a gateway's JSON.

--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,98 @@
+#include "base/log.hpp"
+
+#include <unistd.h>
+
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace elderhead::base {
+namespace {
+
+using nlohmann::ordered_json;
+
+LogForm log_form = LogForm::kText;
+
+const char* Name(Level level) {
+  return level == Level::kInfo ? "info" : level == Level::kWarning ? "warning" : "error";
+}
+
+std::string Timestamp(double unix_ms) {
+  const double whole = std::floor(unix_ms / 1000);
+  const auto seconds = static_cast<std::time_t>(whole);
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  char text[64];
+  std::snprintf(text, sizeof text, "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ", utc.tm_year + 1900, utc.tm_mon + 1,
+                utc.tm_mday, utc.tm_hour, utc.tm_min, utc.tm_sec, static_cast<int>(unix_ms - whole * 1000));
+  return text;
+}
+
+bool ParseNumber(std::string_view word, double& number) {
+  const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), number);
+  return error == std::errc() && end == word.data() + word.size() && std::isfinite(number);
+}
+
+// "hosts 7 clients 3 | reset new 1 reused 2": a word without a number of its own goes before the names behind
+// it, up to the next bar.
+void AddPairs(std::string_view text, ordered_json& record) {
+  std::string name, prefix;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(' '), text.size());
+    const std::string_view word = text.substr(0, end);
+    text.remove_prefix(std::min(text.size(), end + 1));
+    double number = 0;
+    if (word == "|") {
+      name.clear();
+      prefix.clear();
+    } else if (!name.empty() && ParseNumber(word, number)) {
+      const std::string key = prefix + name;
+      if (!record.contains(key)) record[key] = number;
+      name.clear();
+    } else {
+      if (!name.empty()) prefix = name + "_";
+      name = word;
+    }
+  }
+}
+
+}  // namespace
+
+void SetLogForm(LogForm form) { log_form = form; }
+
+std::string FormatRecord(LogForm form, double time, Level level, std::string_view part,
+                         std::string_view event, std::string_view text,
+                         std::initializer_list<LogField> fields) {
+  if (form == LogForm::kText) return Timestamp(time) + ' ' + Name(level) + ' ' + std::string(text);
+  ordered_json record = {
+      {"time", Timestamp(time)}, {"level", Name(level)}, {"part", part}, {"event", event}, {"text", text}};
+  for (const LogField& field : fields) {
+    double number = 0;
+    if (field.is_number && ParseNumber(field.value, number)) {
+      record[std::string(field.name)] = number;
+    } else {
+      record[std::string(field.name)] = field.value;
+    }
+  }
+  if (event == "counts") AddPairs(text.substr(std::min(text.size(), text.find(": ") + 2)), record);
+  // A host's words may be no UTF-8: the record must still be one.
+  return record.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+void Log(Level level, std::string_view part, std::string_view event, std::string_view text,
+         std::initializer_list<LogField> fields) {
+  const double now =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  std::string line = FormatRecord(log_form, now, level, part, event, text, fields);
+  for (char& c : line) {
+    if (c == '\n' || c == '\r') c = ' ';  // one record a line, whatever a peer's words are
+  }
+  line += '\n';
+  const auto written = ::write(STDERR_FILENO, line.data(), line.size());
+  static_cast<void>(written);  // a log that can't be written is no reason to stop serving
+}
+
+}  // namespace elderhead::base
--- a/src/cli/call.cpp
+++ b/src/cli/call.cpp
@@ -44,6 +44,8 @@
   io.run_for(kPatience);
   if (failed) throw CallFailure(address + ": " + failed.message());
   answer.success = answer.text.rfind("SUCCESS", 0) == 0 || answer.text.ends_with("\nEOT\n");
+  if (answer.success && call == "metrics")
+    answer.text.erase(answer.text.size() - 4);  // for a scraper, not for us
   return answer;
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "cli/call.hpp"
+#include "gateway/config.hpp"
 #include "lab/lab.hpp"
 #include "lab/schedule.hpp"
 #include "lab/stand_in.hpp"
@@ -77,6 +78,17 @@
   return code;
 }
 
+// Reads it as the gateway does at its start, but for the variables that win over its fields.
+int CheckGateway(const std::string& file) {
+  const auto config = opalswitch::gateway::LoadConfig(
+      [&](const char* name) { return std::string_view(name) == "NODE_CONFIG" ? file.c_str() : nullptr; });
+  fmt::print("{}: gateway {} of {} in zone '{}': {} classes, {} tenants, {} hosts known, {} descriptors\n",
+             file, config.settings.index, config.settings.gateways, config.settings.zone,
+             config.settings.classes.size(), config.settings.tenants.size(), config.known.hosts.size(),
+             config.sockets);
+  return kHeld;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -115,6 +127,7 @@
   schedule->footer("Example: elderhead lab schedule experiments/steady-3x12.toml --seed 2 | sha256sum");
   schedule->callback([&] {
     chosen = [&] {
+      if (file.ends_with(".json")) return CheckGateway(file);
       const lab::Experiment experiment = lab::ReadExperiment(file);
       for (const std::string& line : lab::FaultTimeline(experiment)) fmt::print("{}\n", line);
       lab::Schedule arrivals(experiment, options.seed);
@@ -135,6 +148,19 @@
     };
   });
 
+  CLI::App* const plot =
+      lab_command->add_subcommand("plot", "Draws a result over time, and a report that holds it all");
+  plot->add_option("RESULT", file, "A result of 'lab run --json'")->required();
+  plot->add_option("DIR", other, "Folder for the pictures and report.html")->required();
+  plot->footer("Needs gnuplot (Debian: gnuplot-nox).\nExample: elderhead lab plot out.json report");
+  plot->callback([&] {
+    chosen = [&] {
+      lab::Plot(lab::ResultsFromJson(ReadAll(file), file), other);
+      fmt::print("{}/report.html\n", other);
+      return kHeld;
+    };
+  });
+
   lab::StandIn stand_in;
   CLI::App* const stand =
       lab_command->add_subcommand("stand-in", "Serves as the plainest gateway, for the lab's own use");
@@ -150,8 +176,8 @@
   CLI::App* const config = app.add_subcommand("config", "Looks at configuration files");
   config->require_subcommand(1);
   config->footer("Example: elderhead config check experiments/steady-3x12.toml");
-  CLI::App* const check =
-      config->add_subcommand("check", "Says whether a file is right: an experiment (.toml)");
+  CLI::App* const check = config->add_subcommand(
+      "check", "Says whether a file is right: an experiment (.toml) or a gateway's (.json)");
   check->add_option("FILE", file, "The file")->required();
   check->footer("Example: elderhead config check experiments/steady-3x12.toml");
   check->callback([&] {
@@ -171,7 +197,7 @@
   operators->add_option("ADDRESS", address, "Address and port")->required();
   operators->add_option("CALL", call, "What to ask")
       ->required()
-      ->check(CLI::IsMember({"check", "vars", "drain-on", "drain-off"}));
+      ->check(CLI::IsMember({"check", "vars", "metrics", "drain-on", "drain-off"}));
   operators->footer(
       "Exit codes: 0 SUCCESS or figures, 1 FAILURE or no answer, 2 wrong use.\nExample: elderhead call "
       "127.0.0.1:3001 check");
@@ -201,6 +227,9 @@
   } catch (const base::ConfigError& error) {
     fmt::print(stderr, "{}\n", error.what());
     return kWrongUse;
+  } catch (const opalswitch::gateway::ConfigError& error) {
+    fmt::print(stderr, "{}: {}\n", file, error.what());
+    return kWrongUse;
   } catch (const cli::CallFailure& error) {
     fmt::print(stderr, "elderhead: {}\n", error.what());
     return kBroken;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -108,6 +108,11 @@
   config.settings = ReadSettings(file);
   config.dial_timeout = PositiveOr(file, "/settings/limits/dialTimeoutMs", config.dial_timeout);
   config.idle_timeout = PositiveOr(file, "/settings/limits/connIdleMs", config.idle_timeout);
+  if (const json::json_pointer at("/log/form"); file.contains(at)) {
+    const json& form = file[at];
+    if (form != "text" && form != "json") throw ConfigError("log/form: must be \"text\" or \"json\"");
+    if (form == "json") config.log = elderhead::base::LogForm::kJson;
+  }
   if (file.contains("known") && !file["known"].is_null()) {
     const auto known = ParseHostList(file["known"].dump());
     if (!known) throw ConfigError("known: not a list of hosts in discovery's form");
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/log.hpp"
 #include "discovery.hpp"
 #include "opalswitch/policy.hpp"
 
@@ -34,6 +35,7 @@
   Millis dial_timeout = 250;
   Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
   HostList known;               // may be old
+  elderhead::base::LogForm log = elderhead::base::LogForm::kText;
 };
 
 // `variable` looks up an environment variable: null if it is not set. Throws ConfigError.
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -4,16 +4,18 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <cstdio>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/log.hpp"
 #include "clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
 
 namespace asio = boost::asio;
+namespace base = elderhead::base;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using nlohmann::json;
@@ -176,8 +178,10 @@
                 "revision " + std::to_string(list->revision) + " is older than " + std::to_string(revision_));
   }
   moved_ = false;
-  Say(*call, "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
-                 (list->complete ? " hosts, the whole list" : " hosts changed"));
+  Say(*call,
+      "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
+          (list->complete ? " hosts, the whole list" : " hosts changed"),
+      false);
   call->timer.cancel();
   call_.reset();
   if (!answer.keep_alive()) socket_.reset();
@@ -191,15 +195,18 @@
 }
 
 // One line on a call, at most two a second.
-void Discovery::Say(const Call& call, const std::string& what) {
+void Discovery::Say(const Call& call, const std::string& what, bool failed) {
   if (Now() < quiet_until_) return;
   quiet_until_ = Now() + kQuiet;
-  std::fprintf(stderr, "discovery: %s, after %.0f ms\n", what.c_str(), Now() - call.begun);
+  const Millis took = std::round(Now() - call.begun);
+  base::Log(failed ? base::Level::kWarning : base::Level::kInfo, "discovery", failed ? "call_failed" : "told",
+            "discovery: " + what + ", after " + std::to_string(static_cast<int>(took)) + " ms",
+            {{"ms", took}});
 }
 
 void Discovery::Fail(const std::shared_ptr<Call>& call, const std::string& why) {
   if (call != call_) return;
-  Say(*call, "call failed: " + why);
+  Say(*call, "call failed: " + why, true);
   Drop();
   watching_ = false;
   handlers_.failed();
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -56,7 +56,7 @@
   void Connected(const std::shared_ptr<Call>& call);
   void Answered(const std::shared_ptr<Call>& call);
   void Fail(const std::shared_ptr<Call>& call, const std::string& why);
-  void Say(const Call& call, const std::string& what);
+  void Say(const Call& call, const std::string& what, bool failed);
   void Drop();
 
   boost::asio::io_context& io_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/log.hpp"
 #include "clock.hpp"
 #include "listen.hpp"
 
@@ -17,6 +18,7 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace base = elderhead::base;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
@@ -28,7 +30,6 @@
 constexpr Millis kFlush = 200;             // for the last answers to leave
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
-constexpr Millis kOverlap = 11000;         // both processes run for so long at most, where no link tells
 constexpr std::size_t kSpareSockets = 40;  // listeners, operators, discovery, the loop's own, and room
 
 // Descriptors that may be used, by the configuration and by the system.
@@ -60,6 +61,14 @@
   return load;
 }
 
+// As printf does; longer texts than any line here are cut.
+template <typename... Values>
+std::string Words(const char* form, Values... values) {
+  char text[512];
+  std::snprintf(text, sizeof text, form, values...);
+  return text;
+}
+
 std::string Seconds(Millis ms) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", ms / 1000);
@@ -101,15 +110,20 @@
       figures_(config.settings),
       stop_(io),
       counting_(io),
-      overlap_(io),
-      shared_(!config.handover.empty() && !inheritance.listener && IsTaken(config.listen)),
+      replacement_(io, config.handover, std::move(inheritance.link),
+                   !config.handover.empty() && !inheritance.listener && IsTaken(config.listen),
+                   {[this] { return Ready(); }, [this] { return stopping_; },
+                    [this] { return clients_.listener(); }, [this] { return Leave(); },
+                    [this](double factor) { policy_.Scale(factor); }, [this](bool half) { SetPlaces(half); },
+                    [this](Descriptor client) { clients_.Adopt(std::move(client)); }}),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
                config.settings, config.memory / 4,
-               {[this] { return Ready() || (stopping_ && !draining_ && Succeeded()); },
+               {[this] { return Ready() || (stopping_ && !draining_ && replacement_.Succeeded()); },
                 [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id, Millis at) { Whole(id, at); },
                 [this](const std::string& id) {
                   ++gone_;
+                  ++left_;
                   if (Flow* const flow = Find(id)) {
                     flow->answered = true;  // nothing is owed any more
                     flow->overdue.cancel();
@@ -124,41 +138,24 @@
     management_.emplace(io, *config.management, callers,
                         [this](const std::string& call) { return Manage(call); });
   }
-  if (inheritance.link) predecessor_ = std::make_unique<Link>(io, std::move(inheritance.link));
   const std::optional<Estate>& estate = inheritance.estate;
   Told(estate ? estate->list : config.known);
   if (estate) policy_.Adopt(Now(), estate->learned);
-  if (predecessor_ || shared_) {
-    whole_ = false;
-    HalvePlaces();
-    policy_.Scale(0.5);
-  }
-  if (predecessor_) {
-    ShareWith(*predecessor_);
-  } else if (shared_) {
-    overlap_.expires_after(Span(kOverlap));
-    overlap_.async_wait([this](error_code ec) {
-      if (!ec) TakeAll();
-    });
-  }
-  if (!config.handover.empty()) {
-    handover_.emplace(
-        io, config.handover,
-        Handover::Handlers{[this] { return successor_ || stopping_ ? -1 : clients_.listener(); },
-                           [this] { return Leave(); },
-                           [this](std::unique_ptr<Link> link) { ShareWith(std::move(link)); }});
-  }
+  replacement_.Begin();
   if (!settings_.ask_for_list) discovery_.Watch();
   for (const ClassSettings& c : settings_.classes) {
-    std::fprintf(stderr, "class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f\n",
-                 c.name.c_str(), c.aim, c.deadline, c.worth, c.late_worth);
+    base::Log(base::Level::kInfo, "start", "class",
+              Words("class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f", c.name.c_str(),
+                    c.aim, c.deadline, c.worth, c.late_worth),
+              {{"class", c.name}, {"aim_ms", c.aim}, {"deadline_ms", c.deadline}, {"worth", c.worth}});
   }
-  std::fprintf(
-      stderr,
-      "fleet: gateway %d of %d in zone %s; hosts start at %.2f, warm after %.0f ms, fall at %.1f times "
-      "that; ask within %.0f ms\n",
-      settings_.index, settings_.gateways, settings_.zone.c_str(), settings_.cold_from, settings_.cold_for,
-      settings_.fall_multiple, settings_.ask_within);
+  base::Log(
+      base::Level::kInfo, "start", "fleet",
+      Words("fleet: gateway %d of %d in zone %s; hosts start at %.2f, warm after %.0f ms, fall at %.1f times "
+            "that; ask within %.0f ms",
+            settings_.index, settings_.gateways, settings_.zone.c_str(), settings_.cold_from,
+            settings_.cold_for, settings_.fall_multiple, settings_.ask_within),
+      {{"gateway", settings_.index}, {"gateways", settings_.gateways}, {"zone", settings_.zone}});
   CountLater();
 }
 
@@ -174,10 +171,13 @@
   flow.rest = std::move(request.rest);
   flow.whole = flow.rest == nullptr;
   flow.allowed = request.allowed;
+  flow.class_name = request.class_name;
+  flow.received = request.received;
   const Millis gives_up = request.received + request.allowed;
   flow.leaves_at = gives_up - kMargin;
   if (flow.whole) SetDeadline(request.id, flow, gives_up);
   Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now()});
+  if (Flow* const held = Find(request.id)) held->direct = false;
 }
 
 void Gateway::SetDeadline(const std::string& id, Flow& flow, Millis gives_up) {
@@ -214,11 +214,13 @@
     }
   }
   Report(ToNews(list));
-  if (Ready() && predecessor_ && !std::exchange(predecessor_told_, true)) predecessor_->Say("ready");
+  replacement_.ReadyNow();
 }
 
 void Gateway::MoveDiscovery(const asio::ip::tcp::endpoint& address) {
-  std::fprintf(stderr, "discovery is at %s:%d now\n", address.address().to_string().c_str(), address.port());
+  const std::string where = address.address().to_string() + ":" + std::to_string(address.port());
+  base::Log(base::Level::kInfo, "discovery", "moved", "discovery is at " + where + " now",
+            {{"address", where}});
   discovery_.Move(address);
 }
 
@@ -243,6 +245,7 @@
                   latency,
                   ParseLoad({report.data(), report.size()}, settings_.report_fields),
                   held};
+  if (result == Result::kServed) figures_.Took(flow->class_name, Figures::Span::kAtHost, latency);
   if (result == Result::kServed && !flow->answered) {
     StripHopByHop(response);
     response.erase("Srv-Load");
@@ -283,6 +286,27 @@
   if (call == "vars") {
     return figures_.ToJson(clients_.active(), list_.size(), policy_.avoided()) + "\nEOT\n";
   }
+  if (call == "metrics") {
+    const HostPool::Counts& c = hosts_.counts();
+    const auto number = [](auto value) { return static_cast<double>(value); };
+    return figures_.ToPrometheus(
+               {{"active_requests", "gauge", "Requests taken and not ended", number(clients_.active())},
+                {"hosts_listed", "gauge", "Hosts in the list", number(list_.size())},
+                {"hosts_avoided", "gauge", "Listed hosts that get no more than trials",
+                 number(policy_.avoided())},
+                {"list_revision", "gauge", "Revision of the list in force", number(revision_)},
+                {"ready", "gauge", "1 while this process takes clients", Ready() ? 1.0 : 0.0},
+                {"client_connections", "gauge", "Connections from clients", number(clients_.sessions())},
+                {"host_connections", "gauge", "Connections to hosts", number(hosts_.connections())},
+                {"dials_total", "counter", "Connections dialled to hosts", number(c.dialled)},
+                {"reuses_total", "counter", "Attempts on a connection that was open", number(c.reused)},
+                {"stale_total", "counter", "Connections found closed when they were to be reused",
+                 number(c.stale)},
+                {"resets_total", "counter", "Connections that broke under an attempt",
+                 number(c.reset_new + c.reset_reused)},
+                {"clients_left_total", "counter", "Clients that left unanswered", number(left_)}}) +
+           "EOT\n";
+  }
   if (call == "check") {
     if (Ready()) return "SUCCESS takes clients\n";
     return stopping_   ? "FAILURE stopping\n"
@@ -293,7 +317,7 @@
     if (stopping_) return call == "drain-on" ? "SUCCESS stopping anyway\n" : "FAILURE stopping\n";
     draining_ = call == "drain-on";
     clients_.Drain(draining_);
-    std::fprintf(stderr, "%s by the operators' call\n", call.c_str());
+    base::Log(base::Level::kInfo, "operators", "drain", call + " by the operators' call", {{"call", call}});
     return draining_ ? "SUCCESS draining\n" : "SUCCESS takes clients\n";
   }
   return "FAILURE unknown call\n";
@@ -311,13 +335,14 @@
   const HostPool::Counts& now = hosts_.counts();
   const HostPool::Counts was = std::exchange(counted_, now);
   const auto since = [](std::uint64_t a, std::uint64_t b) { return static_cast<unsigned long long>(a - b); };
-  std::fprintf(stderr,
-               "sockets: hosts %zu clients %zu left %d | dialled %llu reused %llu stale %llu unusable %llu "
-               "reset new %llu reused %llu\n",
-               hosts_.connections(), clients_.sessions(), std::exchange(gone_, 0),
-               since(now.dialled, was.dialled), since(now.reused, was.reused), since(now.stale, was.stale),
-               since(now.unusable, was.unusable), since(now.reset_new, was.reset_new),
-               since(now.reset_reused, was.reset_reused));
+  base::Log(
+      base::Level::kInfo, "sockets", "counts",
+      Words("sockets: hosts %zu clients %zu left %d | dialled %llu reused %llu stale %llu unusable %llu "
+            "reset new %llu reused %llu",
+            hosts_.connections(), clients_.sessions(), std::exchange(gone_, 0),
+            since(now.dialled, was.dialled), since(now.reused, was.reused), since(now.stale, was.stale),
+            since(now.unusable, was.unusable), since(now.reset_new, was.reset_new),
+            since(now.reset_reused, was.reset_reused)));
   CountLater();
 }
 
@@ -356,6 +381,7 @@
     return Report(Outcome{send.request, attempt, send.server, Result::kNotSent, true, 0, {}});
   }
   const std::size_t index = flow->attempts.size();
+  if (index == 0) Handled(*flow, now, true);
   const Millis timeout = send.timeout > 0 ? send.timeout : kMostUpload;
   flow->attempts.push_back({send.server, now, timeout});
   HostPool::Order order;
@@ -376,9 +402,16 @@
   flow->attempts[index].number = number;
 }
 
+// The decisions have dealt with the request for the first time.
+void Gateway::Handled(const Flow& flow, Millis now, bool sent) {
+  if (sent) figures_.Took(flow.class_name, Figures::Span::kFirstAttempt, now - flow.received);
+  if (!flow.direct) figures_.Took(flow.class_name, Figures::Span::kQueued, now - flow.received);
+}
+
 void Gateway::Do(const Refuse& refuse) {
   Flow* const flow = Find(refuse.request);
   if (flow == nullptr) return;
+  if (flow->attempts.empty()) Handled(*flow, Now(), false);
   HttpResponse response(http::status::service_unavailable, 11);
   response.set(http::field::retry_after, Seconds(refuse.retry_after));
   Answer(*flow, std::move(response));
@@ -407,7 +440,10 @@
 
 void Gateway::Do(const Watch&) { discovery_.Watch(); }
 
-void Gateway::Do(const Log& log) { std::fprintf(stderr, "%s\n", log.text.c_str()); }
+void Gateway::Do(const Log& log) {
+  const bool state = log.text.rfind("state:", 0) == 0;
+  base::Log(base::Level::kInfo, "decisions", state ? "counts" : "news", log.text);
+}
 
 Gateway::Flow* Gateway::Find(const std::string& id) {
   const auto found = flows_.find(id);
@@ -417,6 +453,7 @@
 void Gateway::Answer(Flow& flow, HttpResponse response, std::shared_ptr<BodySource> rest) {
   if (std::exchange(flow.answered, true)) return;
   flow.overdue.cancel();
+  figures_.Took(flow.class_name, Figures::Span::kAll, Now() - flow.received);
   std::exchange(flow.answer, nullptr)(std::move(response), std::move(rest));
 }
 
@@ -429,31 +466,10 @@
   }
 }
 
-// What the process leaves that this one replaces: until it is gone both are one gateway.
-void Gateway::ShareWith(Link& predecessor) {
-  std::fprintf(stderr, "replaces a process that serves\n");
-  predecessor.Listen({[this](std::string_view word, Descriptor with) {
-                        if (word == "client" && with) clients_.Adopt(std::move(with));
-                        if (word == "leaving") TakeAll();
-                      },
-                      [this] {
-                        predecessor_.reset();
-                        TakeAll();
-                      }});
-  if (Ready() && !std::exchange(predecessor_told_, true)) predecessor.Say("ready");
-}
-
-void Gateway::HalvePlaces() {
-  clients_.SetMost(std::max<std::size_t>(1, most_clients_ / 2));
-  hosts_.SetMost(std::max<std::size_t>(1, most_hosts_ / 2));
-}
-
-// From here on this process acts alone. The places of the other are free once it is gone.
-void Gateway::TakeAll() {
-  if (!std::exchange(whole_, true)) policy_.Scale(2);
-  if (predecessor_ || successor_) return;
-  clients_.SetMost(most_clients_);
-  hosts_.SetMost(most_hosts_);
+// While another process runs beside this one each keeps to a part.
+void Gateway::SetPlaces(bool half) {
+  clients_.SetMost(half ? std::max<std::size_t>(1, most_clients_ / 2) : most_clients_);
+  hosts_.SetMost(half ? std::max<std::size_t>(1, most_hosts_ / 2) : most_hosts_);
 }
 
 Estate Gateway::Leave() const {
@@ -464,25 +480,9 @@
   return estate;
 }
 
-void Gateway::ShareWith(std::unique_ptr<Link> successor) {
-  std::fprintf(stderr, "a process that replaces this one has come\n");
-  successor_ = std::move(successor);
-  successor_ready_ = false;
-  if (std::exchange(whole_, false)) policy_.Scale(0.5);
-  HalvePlaces();
-  successor_->Listen({[this](std::string_view word, const Descriptor&) {
-                        if (word == "ready") successor_ready_ = true;
-                      },
-                      [this] {
-                        std::fprintf(stderr, "the process that replaces this one has gone\n");
-                        successor_.reset();
-                        if (!stopping_) TakeAll();
-                      }});
-}
-
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
-  if (Succeeded()) return LeaveTo(std::move(done));
+  if (replacement_.Succeeded()) return LeaveTo(std::move(done));
   clients_.Drain(true);
   stop_.expires_after(Span(kAcceptFor));
   stop_.async_wait([this, done = std::move(done)](error_code) {
@@ -493,24 +493,12 @@
 
 // Another process accepts from the same queue already: it is given what rests, and the rest is finished here.
 void Gateway::LeaveTo(std::function<void()> done) {
-  successor_->Say("leaving");
-  clients_.GiveAway(
-      [this](Descriptor client) {
-        if (!successor_ || !successor_->open()) return false;
-        successor_->Say("client", std::move(client));
-        return true;
-      },
-      [this, done] { Flushed(done); });
+  replacement_.Leave();
+  clients_.GiveAway([this](Descriptor client) { return replacement_.Give(std::move(client)); },
+                    [this, done] { replacement_.Flushed(done); });
   FinishBy(kAnswerAll, done);
 }
 
-// What was given must have left before the process ends.
-void Gateway::Flushed(const std::function<void()>& done) {
-  if (!successor_ || successor_->flushed()) return done();
-  overlap_.expires_after(Span(kFlush / 20));
-  overlap_.async_wait([this, done](error_code) { Flushed(done); });
-}
-
 void Gateway::FinishBy(Millis time, const std::function<void()>& done) {
   stop_.expires_after(Span(time));
   stop_.async_wait([this, done](error_code) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,10 +19,10 @@
 #include "config.hpp"
 #include "discovery.hpp"
 #include "figures.hpp"
-#include "handover.hpp"
 #include "host_pool.hpp"
 #include "management.hpp"
 #include "opalswitch/policy.hpp"
+#include "replacement.hpp"
 
 namespace opalswitch::gateway {
 
@@ -55,7 +55,10 @@
     std::shared_ptr<const HttpRequest> http;
     std::shared_ptr<BodySource> rest;  // of the request, where it was not whole when it was taken
     bool whole = true;                 // its last byte is there
-    Millis allowed = 0;                // from then on
+    std::string class_name;
+    Millis received = 0;  // its last byte, or what was held of a long one
+    bool direct = true;   // sent or refused by the very call that took it
+    Millis allowed = 0;   // from then on
     std::function<void(HttpResponse, std::shared_ptr<BodySource>)> answer;
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
@@ -65,16 +68,10 @@
 
   Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance);
 
-  // The replacement of this process by another, or of another by this one.
-  void ShareWith(Link& predecessor);
-  void ShareWith(std::unique_ptr<Link> successor);
-  void TakeAll();
   Estate Leave() const;
-  void HalvePlaces();
+  void SetPlaces(bool half);
   void LeaveTo(std::function<void()> done);
-  void Flushed(const std::function<void()>& done);
   void FinishBy(Millis time, const std::function<void()>& done);
-  bool Succeeded() const { return successor_ && successor_ready_ && successor_->open(); }
 
   void Take(ClientRequest request);
   void Told(const HostList& list);
@@ -93,6 +90,7 @@
   // causes at once waits in the queue.
   void Report(Event event);
   void Do(const Send& send);
+  void Handled(const Flow& flow, Millis now, bool sent);
   void Do(const Refuse& refuse);
   void Do(const Fail& fail);
   void Do(const Cancel& cancel);
@@ -124,15 +122,10 @@
   boost::asio::steady_timer counting_;
   HostPool::Counts counted_;  // as last logged
   int gone_ = 0;              // clients that left unanswered, since then
-  boost::asio::steady_timer overlap_;
-  const bool shared_;  // at the start another process listened there, and handed nothing over
+  std::uint64_t left_ = 0;    // and since the start
+  Replacement replacement_;
   ClientServer clients_;
   std::optional<ManagementServer> management_;
-  std::unique_ptr<Link> predecessor_, successor_;
-  bool predecessor_told_ = false;  // that this process takes clients
-  bool whole_ = true;              // acts on all that was learned, not on a part
-  bool successor_ready_ = false;
-  std::optional<Handover> handover_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/log.hpp"
 #include "clock.hpp"
 
 namespace opalswitch::gateway {
@@ -276,7 +277,8 @@
     Accept();
     return;
   }
-  std::fprintf(stderr, "nothing can be handed over at %s: %s\n", path.c_str(), ec.message().c_str());
+  elderhead::base::Log(elderhead::base::Level::kWarning, "replacement", "no_handover",
+                       "nothing can be handed over at " + path + ": " + ec.message(), {{"path", path}});
 }
 
 Handover::~Handover() { *alive_ = false; }
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -16,12 +16,14 @@
 #include <string_view>
 #include <utility>
 
+#include "base/log.hpp"
 #include "clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
 
 namespace asio = boost::asio;
+namespace base = elderhead::base;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
@@ -272,12 +274,19 @@
     if (Now() >= pool_.quiet_until_) {
       pool_.quiet_until_ = Now() + kQuiet;
       const auto kind = outgoing_["Req-Kind"];
-      std::fprintf(stderr,
-                   "reset by %s: %s, %.*s with %zu bytes of body, use %d of the connection, rested %.1f ms, "
-                   "broke after %.1f ms\n",
-                   host_.c_str(), ec.message().c_str(), static_cast<int>(kind.size()), kind.data(),
-                   outgoing_.body().size(), uses_, uses_ > 1 ? taken_at_ - rests_at_ : 0.0,
-                   Now() - taken_at_);
+      const Millis rested = uses_ > 1 ? taken_at_ - rests_at_ : 0.0, after = Now() - taken_at_;
+      char how[160];
+      std::snprintf(
+          how, sizeof how,
+          ", %.*s with %zu bytes of body, use %d of the connection, rested %.1f ms, broke after %.1f ms",
+          static_cast<int>(std::min<std::size_t>(kind.size(), 40)), kind.data(), outgoing_.body().size(),
+          uses_, rested, after);
+      base::Log(base::Level::kWarning, "hosts", "reset", "reset by " + host_ + ": " + ec.message() + how,
+                {{"host", host_},
+                 {"class", std::string_view(kind.data(), kind.size())},
+                 {"use", uses_},
+                 {"rested_ms", rested},
+                 {"after_ms", after}});
     }
     End(Result::kReset);
   }
@@ -393,7 +402,9 @@
     const Result result = ToResult(response);
     if (result == Result::kError && Now() >= pool_.quiet_until_) {
       pool_.quiet_until_ = Now() + kQuiet;
-      std::fprintf(stderr, "answer %u by %s\n", response.result_int(), host_.c_str());
+      base::Log(base::Level::kWarning, "hosts", "error_answer",
+                "answer " + std::to_string(response.result_int()) + " by " + host_,
+                {{"host", host_}, {"status", response.result_int()}});
     }
     Finish(result, std::move(response));
   }
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -2,19 +2,22 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <functional>
+#include <string>
 
+#include "base/log.hpp"
 #include "config.hpp"
 #include "gateway.hpp"
 
 int main() {
   namespace gw = opalswitch::gateway;
+  namespace base = elderhead::base;
   try {
     const auto variable = [](const char* name) -> const char* { return std::getenv(name); };
     const gw::Config config = gw::LoadConfig(variable);
+    base::SetLogForm(config.log);
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     gw::Gateway gateway(io, config);
@@ -29,7 +32,8 @@
           try {
             gateway.MoveDiscovery(gw::LoadDiscovery(variable));
           } catch (const gw::ConfigError& error) {  // the old one stays in force
-            std::fprintf(stderr, "forkwick: not reloaded: %s\n", error.what());
+            base::Log(base::Level::kError, "config", "not_reloaded",
+                      std::string("not reloaded: ") + error.what());
           }
           reloads.async_wait(reload);
         };
@@ -37,7 +41,7 @@
     io.run();
     return 0;
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "forkwick: %s\n", error.what());
+    base::Log(base::Level::kError, "config", "not_started", std::string("forkwick: ") + error.what());
     return 1;
   }
 }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -212,7 +212,7 @@
   for (TomlTable& fault : t.Tables("faults")) e.faults.push_back(ReadFault(fault, e));
   std::stable_sort(e.faults.begin(), e.faults.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
-  const std::vector<std::string> known{"random", "round_robin", "least_inflight", "direct"};
+  const std::vector<std::string> known{"random", "round_robin", "least_inflight", "direct", "no_fault"};
   e.baselines = t.Texts("baselines");
   for (const std::string& name : e.baselines) {
     if (std::find(known.begin(), known.end(), name) == known.end()) {
@@ -228,6 +228,12 @@
 
 }  // namespace
 
+Experiment Experiment::WithoutFaults() const {
+  Experiment calm = *this;
+  std::erase_if(calm.faults, [](const Fault& fault) { return fault.kind != FaultKind::kBurst; });
+  return calm;
+}
+
 int Experiment::HostCount() const {
   int count = 0;
   for (const HostKind& kind : hosts) count += kind.count;
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -123,9 +123,11 @@
   std::vector<ClassSpec> classes;
   Traffic traffic;
   std::vector<Fault> faults;           // in the order of their times
-  std::vector<std::string> baselines;  // random, round_robin, least_inflight, direct
+  std::vector<std::string> baselines;  // random, round_robin, least_inflight, direct, no_fault
   std::vector<Bound> bounds;
 
+  // The same with no faults but those of the traffic: what the schedule alone makes of the program.
+  Experiment WithoutFaults() const;
   int HostCount() const;
   // Requests a second that all hosts together can serve, warm and at full speed.
   double Capacity() const;
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -327,8 +327,10 @@
   std::vector<std::pair<std::string, std::string>> variants{{"gateway", options.gateway}};
   if (!options.earlier.empty()) variants.emplace_back("earlier", options.earlier);
   for (const std::string& name : experiment.baselines) {
-    variants.emplace_back(name, options.self + " lab stand-in --policy " + name);
+    variants.emplace_back(
+        name, name == "no_fault" ? options.gateway : options.self + " lab stand-in --policy " + name);
   }
+  const Experiment calm = experiment.WithoutFaults();
   Results results{experiment.name, experiment.about, {}};
   for (int k = 0; k < options.repeats; ++k) {
     const std::uint64_t seed = options.seed + static_cast<std::uint64_t>(k);
@@ -338,7 +340,8 @@
         logs = fmt::format("{}/{}-{}-{}", options.logs, experiment.name, seed, name);
         std::filesystem::create_directories(logs);
       }
-      results.plays.push_back(Stage(experiment, name, command, seed, logs, options.progress).Run());
+      results.plays.push_back(
+          Stage(name == "no_fault" ? calm : experiment, name, command, seed, logs, options.progress).Run());
       if (interrupted) return results;
     }
   }
--- a/src/lab/results.hpp
+++ b/src/lab/results.hpp
@@ -47,6 +47,11 @@
 // Throws std::runtime_error that says what is wrong.
 Results ResultsFromJson(const std::string& text, const std::string& name);
 
+// Draws goodput, latency and refusals over time (means over the seeds) with the faults' times as SVG files
+// into the folder, by gnuplot, and writes report.html there, which holds them all and opens without a
+// network. Throws std::runtime_error where the folder can't be written or gnuplot can't be run.
+void Plot(const Results& results, const std::string& folder);
+
 // A table of the main figures, a column a variant.
 std::string Summary(const Results& results);
 // Both results' figures with 95% confidence intervals over their plays (Student's t), and the ratio of the
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "base/histogram.hpp"
 #include "lab/host_model.hpp"
@@ -409,6 +410,35 @@
   }
 }
 
+TEST(Program, DrawsAReportThatHoldsAll) {
+  const std::string folder = ::testing::TempDir() + "lab's report",
+                    result = ::testing::TempDir() + "result.json";
+  Results results{"small", "a <day>", {}};
+  for (const char* variant : {"gateway", "random"}) {
+    Play play;
+    play.variant = variant;
+    play.figures = {{"goodput", 0.5}};
+    for (int i = 0; i < 4; ++i) play.windows.push_back({i * 500.0, 10, 9, 0, 1, 0, 1.5 + i, 2.5 + i});
+    play.events.emplace_back(700, "the gateway's end");
+    results.plays.push_back(play);
+  }
+  std::ofstream(result) << ToJson(results);
+  const auto [code, text] = Elderhead("lab plot " + result + " \"" + folder + "\"");
+  EXPECT_EQ(code, 0) << text;
+  std::stringstream page;
+  page << std::ifstream(folder + "/report.html").rdbuf();
+  std::size_t pictures = 0;
+  for (std::size_t at = 0; (at = page.str().find("<svg", at)) != std::string::npos; ++at) ++pictures;
+  EXPECT_EQ(pictures, 3U);
+  for (const char* part : {"a &lt;day&gt;", "goodput", "the gateway's end"}) {
+    EXPECT_NE(page.str().find(part), std::string::npos) << part;
+  }
+  EXPECT_EQ(page.str().find("http"),
+            page.str().find("http://www.w3.org"));  // names of forms only, nothing to fetch
+  std::filesystem::remove_all(folder);
+  std::filesystem::remove(result);
+}
+
 TEST(Program, ReadsEveryExperimentOfTheRepository) {
   for (const auto& entry : std::filesystem::directory_iterator(EXPERIMENTS)) {
     if (entry.path().extension() != ".toml") continue;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,6 +1,10 @@
 // What operators use: the management address, the figures and the drain. Each test says what it guards.
 #include <gtest/gtest.h>
 
+#include <set>
+#include <sstream>
+
+#include "base/log.hpp"
 #include "world.hpp"
 
 namespace opalswitch::testing {
@@ -95,6 +99,86 @@
   EXPECT_EQ(vars["tries"], 6);
 }
 
+// Guards the scraped form: every sample once under a type, buckets that only grow, and the spans of what was
+// played.
+TEST(Figures, AreTheSameInPrometheusForm) {
+  World world(2);
+  for (auto& host : world.hosts) {
+    host->serve = [](const Peer::Taken& taken) {
+      taken.Answer(taken.http["Req-Id"] == "fails" ? 500 : 200, "");
+    };
+  }
+  const auto client = world.Connect();
+  std::size_t sent = 0;
+  for (const char* id : {"a", "b", "c"}) {
+    client->Send(ApiCall(id));
+    client->Await(++sent);
+  }
+  client->Send(ApiCall("fails", "pay"));
+  client->Await(++sent);
+  std::istringstream text(world.Call("metrics\n"));
+  std::map<std::string, double> samples;
+  std::set<std::string> types;
+  std::string line, last;
+  double below = 0;
+  while (std::getline(text, line) && line != "EOT") {
+    last = line;
+    if (line.starts_with("#")) {
+      EXPECT_TRUE(!line.starts_with("# TYPE ") || types.insert(line.substr(0, line.rfind(' '))).second)
+          << line;
+      continue;
+    }
+    const std::size_t space = line.rfind(' ');
+    const std::string name = line.substr(0, space);
+    const double value = std::stod(line.substr(space + 1));
+    EXPECT_TRUE(samples.emplace(name, value).second) << name;
+    if (name.find("_bucket{") == std::string::npos) continue;
+    EXPECT_TRUE(value >= below || name.find("le=\"0.001\"") != std::string::npos) << name;
+    below = value;
+  }
+  EXPECT_EQ(line, "EOT") << last;
+  EXPECT_EQ(samples["elderhead_responses_total{class=\"view\",result=\"served\"}"], 3);
+  EXPECT_EQ(samples["elderhead_responses_total{class=\"pay\",result=\"failed\"}"], 1);
+  EXPECT_EQ(samples["elderhead_attempts_total"], 4);
+  EXPECT_EQ(samples["elderhead_hosts_listed"], 2);
+  for (const char* span : {"first_attempt", "at_host", "request"}) {
+    const std::string name = std::string("elderhead_") + span + "_seconds";
+    EXPECT_EQ(samples[name + "_count{class=\"view\"}"], 3) << span;
+    EXPECT_EQ(samples[name + "_bucket{class=\"view\",le=\"+Inf\"}"], 3) << span;
+    EXPECT_GT(samples[name + "_sum{class=\"view\"}"], 0) << span;
+  }
+  EXPECT_EQ(samples["elderhead_queued_seconds_count{class=\"view\"}"], 0);
+  EXPECT_EQ(samples["elderhead_at_host_seconds_count{class=\"pay\"}"], 0);
+}
+
+// Guards the log's two forms: the words stay, and what is named in them are fields for a machine, on one
+// line.
+TEST(Log, IsTextOrOneObjectALine) {
+  namespace base = elderhead::base;
+  const std::string words = "sockets: hosts 7 clients 3 left 0 | dialled 4 reused 9 | reset new 1 reused 2";
+  EXPECT_EQ(base::FormatRecord(base::LogForm::kText, 1780000000123.0, base::Level::kInfo, "sockets", "counts",
+                               words),
+            "2026-05-28T20:26:40.123Z info " + words);
+  const auto record = nlohmann::json::parse(base::FormatRecord(base::LogForm::kJson, 1780000000123.0,
+                                                               base::Level::kWarning, "sockets", "counts",
+                                                               words, {{"host", "h\"\xff"}, {"ms", 2.5}}));
+  const nlohmann::json wanted = {{"time", "2026-05-28T20:26:40.123Z"},
+                                 {"level", "warning"},
+                                 {"part", "sockets"},
+                                 {"event", "counts"},
+                                 {"text", words},
+                                 {"host", "h\"\ufffd"},
+                                 {"ms", 2.5},
+                                 {"hosts", 7},
+                                 {"clients", 3},
+                                 {"left", 0},
+                                 {"dialled", 4},
+                                 {"reused", 9},
+                                 {"reset_new", 1},
+                                 {"reset_reused", 2}};
+  EXPECT_EQ(record, wanted);
+}
+
 // Guards the figures on hosts: what is listed, drained or not, and what the module avoids.
 TEST(Figures, TellListedAndAvoidedHosts) {
   World world(2);
