Lab: datagrams between gateways, late starters named, nothing left behind

Need: shared state between gateways is to be proved over datagrams that get lost, repeated and reordered; a gateway that never says yes, and a lab that is killed, must not leave a play or a machine hanging. Change: PeerNet, a socket a pair and direction, with faults 'peers' and 'peer_cut' (zone cuts too); a rule on datagrams over 256 bytes; ready_within_s; tests of these, of two runs at the same time and of a killed lab.

--- a/src/lab/addresses.hpp
+++ b/src/lab/addresses.hpp
@@ -38,6 +38,12 @@
     return At(gateway + 1, static_cast<std::uint16_t>(10000 + host));
   }
 
+  // Where the gateway reaches the other one, and hears it from; and where it listens for all of them.
+  Endpoint Peer(int gateway, int other) const {
+    return At(gateway + 1, static_cast<std::uint16_t>(20000 + other));
+  }
+  Endpoint PeerListen(int gateway) const { return At(gateway + 1, 7946); }
+
   static std::string Text(const Endpoint& endpoint) {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
   }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -16,6 +16,7 @@
 
 constexpr double kMs = 1000;
 constexpr int kMostGateways = 200;  // each has an address of its own in the run's block of 254
+constexpr int kMostPeers = 100;
 constexpr int kMostHosts = 600;
 
 const std::vector<std::pair<std::string, FaultKind>> kFaults{{"kill", FaultKind::kKill},
@@ -31,6 +32,8 @@
                                                              {"kill_host", FaultKind::kHostKill},
                                                              {"drain_host", FaultKind::kHostDrain},
                                                              {"delay", FaultKind::kDelay},
+                                                             {"peers", FaultKind::kPeers},
+                                                             {"peer_cut", FaultKind::kPeerCut},
                                                              {"burst", FaultKind::kBurst}};
 
 HostKind ReadHost(TomlTable& t, const std::vector<std::string>& zones) {
@@ -107,6 +110,8 @@
     case FaultKind::kStop:
     case FaultKind::kTerm:
     case FaultKind::kReplace:
+    case FaultKind::kPeers:
+    case FaultKind::kPeerCut:
     case FaultKind::kDelay:
       f.gateways = ReadNumbers(t, "gateway", e.fleet.gateways);
       f.text += " gateway " + t.Text("gateway");
@@ -130,9 +135,18 @@
   if (f.kind == FaultKind::kSlow || f.kind == FaultKind::kDelay || f.kind == FaultKind::kBurst) {
     f.size = t.Number("size", kAboveZero);
     f.text += fmt::format(" x{:g}", f.size);
+  } else if (f.kind == FaultKind::kPeers) {
+    f.weather = {t.Number("loss", 0, kShare), t.Number("repeat", 0, kShare), t.Number("reorder", 0, kShare),
+                 t.Number("delay_ms", 0, kNotNegative)};
+  } else if (f.kind == FaultKind::kPeerCut) {
+    f.peers = ReadNumbers(t, "peer", e.fleet.gateways);
+    f.text += " from " + t.Text("peer");
   } else if (f.kind == FaultKind::kFail) {
     f.size = t.Number("size", kShare);
   }
+  if ((f.kind == FaultKind::kPeers || f.kind == FaultKind::kPeerCut) && !e.fleet.peers) {
+    t.Fail("what", "needs peers = true in [fleet]");
+  }
   t.Done();
   return f;
 }
@@ -178,6 +192,11 @@
     e.fleet.sockets = f->Whole("sockets", e.fleet.sockets, 64, 1 << 20);
     e.fleet.memory_mb = f->Whole("memory_mb", e.fleet.memory_mb, 16, 1 << 20);
     e.fleet.retry_after = f->Flag("retry_after", e.fleet.retry_after);
+    e.fleet.peers = f->Flag("peers", e.fleet.peers);
+    if (e.fleet.peers && e.fleet.gateways > kMostPeers) {
+      f->Fail("peers", fmt::format("takes a socket for each pair: {} gateways at most", kMostPeers));
+    }
+    e.fleet.ready_within = f->Number("ready_within_s", e.fleet.ready_within / kMs, {0.1, 600}) * kMs;
     f->Done();
   }
   for (TomlTable& host : t.Tables("hosts")) e.hosts.push_back(ReadHost(host, e.fleet.zones));
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -74,6 +74,14 @@
   int sockets = 1024;
   int memory_mb = 192;
   bool retry_after = true;
+  bool peers = false;           // gateways may send each other datagrams
+  Millis ready_within = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
+};
+
+// What happens to datagrams between gateways.
+struct PeerWeather {
+  double loss = 0, repeat = 0, reorder = 0;  // shares
+  Millis delay = 0;
 };
 
 enum class FaultKind {
@@ -90,6 +98,8 @@
   kHostKill,   // a host: gone with its connections; back, cold, after for_s
   kHostDrain,  // a host: drains for for_s, then is removed
   kDelay,      // all links of a gateway: `size` ms more each way
+  kPeers,      // datagrams from and to a gateway: lost, repeated, reordered, delayed
+  kPeerCut,    // a gateway from others: datagrams between them are lost, both ways
   kBurst,      // traffic times `size`
 };
 
@@ -101,6 +111,8 @@
   std::vector<int> hosts;
   std::string zone;
   double size = 1;
+  std::vector<int> peers;
+  PeerWeather weather;
   std::string text;  // as in the file, for reports
 };
 
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -69,8 +69,15 @@
                      {"coldFrom", e.cold.from},
                      {"coldMs", e.cold.warm_after},
                      {"fallMultiple", e.cold.fall_multiple}}}};
+  json peers = json::array();
+  for (int p = 0; p < count() && e.fleet.peers; ++p) {
+    peers.push_back(
+        Addresses::Text(p == gateway ? s_.addresses.PeerListen(p) : s_.addresses.Peer(gateway, p)));
+  }
   return json{
       {"name", fmt::format("n{}", gateway)},
+      {"peer_listen", Addresses::Text(s_.addresses.PeerListen(gateway))},
+      {"peers", peers},
       {"listen", Addresses::Text(s_.addresses.Gateway(gateway))},
       {"discovery", Addresses::Text(s_.addresses.List(gateway))},
       {"mgmt", Addresses::Text(s_.addresses.Management(gateway, start))},
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -15,14 +15,14 @@
 #include "lab/hosts.hpp"
 #include "lab/lab.hpp"
 #include "lab/list_service.hpp"
+#include "lab/peer_net.hpp"
 
 namespace elderhead::lab {
 namespace {
 
 using boost::system::error_code;
 
-constexpr Millis kReadyWithin = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
-constexpr Millis kFirst = 300;          // from the gateways' yes to the first arrival
+constexpr Millis kFirst = 300;  // from the gateways' yes to the first arrival
 constexpr Millis kTick = 50;
 constexpr double kMostUnheard = 1.0 / 200;  // STANDING: beyond this share they are lost
 
@@ -94,6 +94,7 @@
         ListService::Setting{io_, addresses_, direct_ ? 0 : gateways, e_.fleet.list_delay,
                              [this](int g) { return list_links_[static_cast<std::size_t>(g)].get(); }},
         std::move(members));
+    if (!direct_ && e_.fleet.peers) peers_ = std::make_unique<PeerNet>(io_, addresses_, gateways, seed);
     if (!direct_) {
       std::vector<std::string> known;
       for (int g = 0; g < gateways; ++g) known.push_back(list_->Whole(g));
@@ -145,8 +146,8 @@
     if (start_ < 0) {
       if (!gateways_ || gateways_->AllReady()) {
         Begin(now + kFirst);
-      } else if (now > began_ + kReadyWithin) {
-        return End(gateways_->NotReady() + fmt::format(" after {:g} s", kReadyWithin / 1000));
+      } else if (now > began_ + e_.fleet.ready_within) {
+        return End(gateways_->NotReady() + fmt::format(" after {:g} s", e_.fleet.ready_within / 1000));
       }
     } else if (clients_->done()) {
       return io_.stop();
@@ -201,6 +202,8 @@
         for (const int h : fault.hosts) host_links_.at({g, h})->Cut(true, true);
       }
       if (fault.kind == FaultKind::kDelay) Delay(g, fault.size);
+      if (fault.kind == FaultKind::kPeers) peers_->SetWeather(g, fault.weather);
+      if (fault.kind == FaultKind::kPeerCut) CutPeers(g, fault.peers, true);
     }
     if (fault.kind == FaultKind::kCut) return;
     for (const int h : fault.hosts) {
@@ -224,6 +227,8 @@
         for (const int h : fault.hosts) host_links_.at({g, h})->Heal(true, true);
       }
       if (fault.kind == FaultKind::kDelay) Delay(g, -fault.size);
+      if (fault.kind == FaultKind::kPeers) peers_->SetWeather(g, {});
+      if (fault.kind == FaultKind::kPeerCut) CutPeers(g, fault.peers, false);
     }
     if (fault.kind == FaultKind::kCut) return;
     for (const int h : fault.hosts) {
@@ -248,6 +253,14 @@
     list_links_[static_cast<std::size_t>(gateway)]->AddDelay(more);
   }
 
+  void CutPeers(int gateway, const std::vector<int>& others, bool cut) {
+    for (const int other : others) {
+      if (other == gateway) continue;
+      peers_->Cut(gateway, other, cut);
+      peers_->Cut(other, gateway, cut);
+    }
+  }
+
   // The list service lives in the first zone.
   void CutZone(const std::string& zone, bool cut) {
     const auto change = [cut](Link& link) { cut ? link.Cut(true, true) : link.Heal(true, true); };
@@ -256,6 +269,13 @@
       for (int h = 0; h < hosts_->count(); ++h) {
         if (inside != (hosts_->zone(h) == zone)) change(*host_links_.at({g, h}));
       }
+      if (peers_ && inside) {
+        std::vector<int> outside;
+        for (int p = 0; p < gateways_->count(); ++p) {
+          if (e_.fleet.zones[static_cast<std::size_t>(gateways_->ZoneOf(p))] != zone) outside.push_back(p);
+        }
+        CutPeers(g, outside, cut);
+      }
       if (inside != (e_.fleet.zones.front() == zone)) change(*list_links_[static_cast<std::size_t>(g)]);
     }
   }
@@ -293,6 +313,10 @@
       if (gateways_->cpu() > 0) f["core_requests_per_s"] = requests * 1000 / gateways_->cpu();
       f["rss_mb"] = gateways_->most_memory_mb();
     }
+    if (peers_) {
+      f["peer_datagrams"] = static_cast<double>(peers_->counts().sent);
+      f["peer_too_long"] = static_cast<double>(peers_->counts().too_long);
+    }
     f["lab_cpu_us_per_request"] = (OwnCpu() - cpu_before_) * 1000 / requests;
     for (std::size_t i = 0; i < first_answers_.size(); ++i) {
       if (first_answers_[i] >= 0) f[fmt::format("first_answer_ms/{}", i + 1)] = first_answers_[i];
@@ -310,6 +334,7 @@
   std::vector<std::unique_ptr<Link>> list_links_;
   Rules rules_;
   Recorder recorder_;
+  std::unique_ptr<PeerNet> peers_;
   std::unique_ptr<ListService> list_;
   std::unique_ptr<Hosts> hosts_;
   std::unique_ptr<Gateways> gateways_;
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -15,8 +15,8 @@
 
 using nlohmann::json;
 
-const std::vector<std::string> kRules{"ran_twice",  "attempts_over", "unknown", "late_sends",
-                                      "cold_falls", "forged",        "lost",    "crashed"};
+const std::vector<std::string> kRules{"ran_twice", "attempts_over", "unknown", "late_sends",   "cold_falls",
+                                      "forged",    "lost",          "crashed", "peer_too_long"};
 // In the order of the summary. Those behind the first row of rules also stand for a class or a fault
 // ("p99_ms/NAME").
 const std::vector<std::string> kFigures{"requests",
@@ -40,6 +40,7 @@
                                         "list_calls",
                                         "unheard",
                                         "excused",
+                                        "peer_datagrams",
                                         "unplaced",
                                         "client_tries",
                                         "cpu_us_per_request",
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,7 +1,9 @@
 // The lab without sockets: schedules, the emulated host against closed forms, the rules, figures, files. And
 // the lab as a program: that it catches gateways that do wrong.
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/mersenne_twister.hpp>
@@ -14,6 +16,7 @@
 
 #include "base/histogram.hpp"
 #include "lab/host_model.hpp"
+#include "lab/peer_net.hpp"
 #include "lab/recorder.hpp"
 #include "lab/results.hpp"
 #include "lab/rules.hpp"
@@ -383,6 +386,51 @@
   EXPECT_THROW(ResultsFromJson("{}", "x"), std::runtime_error);
 }
 
+// What two gateways hear of each other: all of it in order, then what the weather leaves, then nothing.
+TEST(PeerNet, LosesRepeatsReordersAndCuts) {
+  namespace asio = boost::asio;
+  asio::io_context io;
+  const Addresses addresses(io), others(io);  // two runs at the same time
+  EXPECT_NE(addresses.Gateway(0), others.Gateway(0));
+  PeerNet net(io, addresses, 2, 5);
+  const auto at = [](const Addresses::Endpoint& e) { return asio::ip::udp::endpoint(e.address(), e.port()); };
+  asio::ip::udp::socket a(io, at(addresses.PeerListen(0))), b(io, at(addresses.PeerListen(1)));
+  b.non_blocking(true);
+  const auto play = [&](const std::string& padding) {
+    std::vector<int> heard;
+    for (int i = 0; i < 400; ++i) {
+      a.send_to(asio::buffer(std::to_string(i) + padding), at(addresses.Peer(0, 1)));
+      io.run_for(std::chrono::milliseconds(i == 399 ? 60 : 1));
+      io.restart();
+      char text[600];
+      asio::ip::udp::endpoint from;
+      boost::system::error_code ec;
+      while (b.receive_from(asio::buffer(text), from, 0, ec) > 0 && !ec) {
+        heard.push_back(std::atoi(text));
+        EXPECT_EQ(from, at(addresses.Peer(1, 0)));  // as b reaches a
+      }
+    }
+    return heard;
+  };
+  const std::vector<int> calm = play(" ");
+  EXPECT_EQ(calm.size(), 400U);
+  EXPECT_TRUE(std::is_sorted(calm.begin(), calm.end()));
+  net.SetWeather(1, {0.3, 0, 0, 0});
+  EXPECT_NEAR(static_cast<double>(play(" ").size()), 280, 40);
+  net.SetWeather(1, {0, 0.5, 0, 0});
+  EXPECT_NEAR(static_cast<double>(play(" ").size()), 600, 45);
+  net.SetWeather(1, {0, 0, 0.5, 0});
+  const std::vector<int> shuffled = play(" ");
+  EXPECT_EQ(shuffled.size(), 400U);
+  EXPECT_FALSE(std::is_sorted(shuffled.begin(), shuffled.end()));
+  net.SetWeather(1, {});
+  net.Cut(0, 1, true);
+  EXPECT_TRUE(play(" ").empty());
+  net.Cut(0, 1, false);
+  EXPECT_TRUE(play(std::string(256, ' ')).empty());
+  EXPECT_EQ(net.counts().too_long, 400U);
+}
+
 // The program, with its output.
 std::pair<int, std::string> Elderhead(const std::string& arguments) {
   std::FILE* const pipe = popen((std::string(ELDERHEAD_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
@@ -483,5 +531,33 @@
   std::filesystem::remove(file);
 }
 
+// A gateway that never becomes ready is named in time; and a lab that is killed leaves no process behind.
+TEST(Program, NamesWhoIsNotReadyAndLeavesNothingBehind) {
+  const std::string file = ::testing::TempDir() + "never.toml";
+  std::string text = kSmall;
+  text.replace(text.find("baselines"), 31, "[fleet]\nready_within_s = 1\n");
+  text += "[traffic]\nrate = 10\nseconds = 30\n";
+  std::ofstream(file) << text;
+  const std::string sleep = "sleep " + std::to_string(86400 + getpid());  // one of that length is ours
+  const auto [code, out] = Elderhead("lab run " + file + " --gateway '" + sleep + "'");
+  EXPECT_EQ(code, 1) << out;
+  EXPECT_NE(out.find("gateway 0 is not ready, gateway 1 is not ready after 1 s"), std::string::npos) << out;
+  const auto left = [&] { return std::system(("pgrep -f '^" + sleep + "' >/dev/null").c_str()) == 0; };
+  EXPECT_FALSE(left());
+  std::ofstream(file) << text.replace(text.find("within_s = 1"), 12, "within_s = 60");
+  const pid_t lab = fork();
+  if (lab == 0) {
+    execl(ELDERHEAD_PROGRAM, "elderhead", "lab", "run", file.c_str(), "--gateway", sleep.c_str(), nullptr);
+    _exit(1);
+  }
+  for (int i = 0; i < 200 && !left(); ++i) usleep(50000);
+  EXPECT_TRUE(left());
+  kill(lab, SIGKILL);
+  waitpid(lab, nullptr, 0);
+  for (int i = 0; i < 200 && left(); ++i) usleep(50000);
+  EXPECT_FALSE(left());
+  std::filesystem::remove(file);
+}
+
 }  // namespace
 }  // namespace elderhead::lab
