--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "cli/call.hpp"
+#include "cli/state.hpp"
 #include "gateway/config.hpp"
 #include "lab/lab.hpp"
 #include "lab/schedule.hpp"
@@ -209,6 +210,27 @@
     };
   });
 
+  CLI::App* const state =
+      app.add_subcommand("state", "Looks at a folder that a program keeps its state in; never writes there");
+  state->require_subcommand(1);
+  state->footer("Example: elderhead state verify /var/lib/elderhead/n3");
+  const auto look = [&](const char* name, const char* about, const char* example,
+                        int (*does)(const std::string&)) {
+    CLI::App* const command = state->add_subcommand(name, about);
+    command->add_option("DIR", file, "The folder")->required();
+    command->footer(
+        std::string(
+            "Exit codes: 0 whole or empty, 1 damaged or of a newer program, 2 can't be read.\nExample: ") +
+        example);
+    command->callback([&, does] { chosen = [&, does] { return does(file); }; });
+  };
+  look("inspect", "Tells what is there, file by file", "elderhead state inspect /var/lib/elderhead/n3",
+       cli::InspectState);
+  look("verify", "Tells in a line whether all of it is whole", "elderhead state verify /var/lib/elderhead/n3",
+       cli::VerifyState);
+  look("export", "Prints the believed snapshot and records as JSON, a line each",
+       "elderhead state export DIR | head -1", cli::ExportState);
+
   CLI::App* const version = app.add_subcommand("version", "Prints the version");
   version->callback([&] {
     chosen = [] {
--- /dev/null
+++ b/src/cli/state.cpp
@@ -0,0 +1,88 @@
+#include "cli/state.hpp"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "store/store.hpp"
+
+namespace elderhead::cli {
+namespace {
+
+using nlohmann::ordered_json;
+
+store::Examination Look(const std::string& folder) {
+  store::Examination examination;
+  const auto files = store::MakePosixFileSystem();
+  const store::Status status = store::Examine(*files, folder, "", examination);
+  if (!status.ok()) throw std::runtime_error(status.Text());
+  return examination;
+}
+
+const char* Words(store::Found found) {
+  switch (found) {
+    case store::Found::kNothing: return "no state";
+    case store::Found::kWhole: return "whole";
+    case store::Found::kDamaged: return "damaged";
+    case store::Found::kForeign: return "of a newer program";
+  }
+  return "";
+}
+
+std::string Line(const std::string& folder, const store::Examination& e) {
+  std::string line = fmt::format("{}: {}", folder, Words(e.found));
+  if (e.manifest && !e.manifest->owner.empty()) line += fmt::format(", of {}", e.manifest->owner);
+  if (e.snapshot) line += fmt::format(", snapshot up to {}", e.snapshot->sequence);
+  if (!e.records.empty()) {
+    line += fmt::format(", records {} to {}", e.records.front().sequence, e.records.back().sequence);
+  }
+  return e.why.empty() ? line : line + ": " + e.why;
+}
+
+ordered_json Payload(const std::string& bytes) {
+  const ordered_json parsed = ordered_json::parse(bytes, nullptr, /*allow_exceptions=*/false);
+  return parsed.is_discarded() ? ordered_json(bytes) : parsed;
+}
+
+void Print(const ordered_json& line) {
+  fmt::print("{}\n", line.dump(-1, ' ', false, ordered_json::error_handler_t::replace));
+}
+
+}  // namespace
+
+int InspectState(const std::string& folder) {
+  const store::Examination e = Look(folder);
+  fmt::print("{}\n", Line(folder, e));
+  if (e.manifest) fmt::print("  begun by elderhead {}, format {}\n", e.manifest->program, e.manifest->format);
+  for (const auto& file : e.files) {
+    fmt::print("  {:32} {:>9} bytes  {}{}\n", file.name, file.bytes, file.what,
+               file.why.empty() ? "" : "; wrong: " + file.why);
+  }
+  for (const std::string& name : e.spent) fmt::print("  {:32} needed no more\n", name);
+  return 0;
+}
+
+int VerifyState(const std::string& folder) {
+  const store::Examination e = Look(folder);
+  fmt::print("{}\n", Line(folder, e));
+  return e.found == store::Found::kWhole || e.found == store::Found::kNothing ? 0 : 1;
+}
+
+int ExportState(const std::string& folder) {
+  const store::Examination e = Look(folder);
+  if (e.snapshot) {
+    Print({{"snapshot", e.snapshot->sequence},
+           {"version", e.snapshot->version},
+           {"payload", Payload(e.snapshot->payload)}});
+  }
+  for (const store::Record& record : e.records) {
+    Print({{"record", record.sequence},
+           {"kind", record.kind},
+           {"version", record.version},
+           {"payload", Payload(record.payload)}});
+  }
+  return e.found == store::Found::kWhole || e.found == store::Found::kNothing ? 0 : 1;
+}
+
+}  // namespace elderhead::cli
--- /dev/null
+++ b/src/store/posix_file_system.cpp
@@ -0,0 +1,144 @@
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <filesystem>
+#include <utility>
+
+#include "store/file_system.hpp"
+
+namespace elderhead::store {
+namespace {
+
+Status Failed(const char* call, const std::string& path, int error = errno) {
+  return {std::error_code(error, std::generic_category()), std::string(call) + " " + path};
+}
+
+class Descriptor {
+ public:
+  explicit Descriptor(int fd) : fd_(fd) {}
+  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  ~Descriptor() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_;
+};
+
+int OpenRetrying(const std::string& path, int flags) {
+  int fd = -1;
+  do {
+    fd = ::open(path.c_str(), flags | O_CLOEXEC, 0640);
+  } while (fd < 0 && errno == EINTR);
+  return fd;
+}
+
+class PosixFile : public File {
+ public:
+  PosixFile(Descriptor fd, std::string path) : fd_(std::move(fd)), path_(std::move(path)) {}
+
+  Status Append(std::string_view bytes) override {
+    while (!bytes.empty()) {
+      const ssize_t written = ::write(fd_.get(), bytes.data(), bytes.size());
+      if (written < 0 && errno == EINTR) continue;
+      if (written < 0) return Failed("write", path_);
+      bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return {};
+  }
+
+  // Not repeated on EINTR or anything else: a second sync may succeed without what the first one lost.
+  Status Sync() override { return ::fdatasync(fd_.get()) == 0 ? Status{} : Failed("sync", path_); }
+
+ private:
+  const Descriptor fd_;
+  const std::string path_;
+};
+
+class PosixLock : public FileSystem::Lock {
+ public:
+  explicit PosixLock(Descriptor fd) : fd_(std::move(fd)) {}
+
+ private:
+  const Descriptor fd_;
+};
+
+class PosixFileSystem : public FileSystem {
+ public:
+  Status Create(const std::string& path, std::unique_ptr<File>& file) override {
+    Descriptor fd(OpenRetrying(path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND));
+    if (!fd) return Failed("create", path);
+    file = std::make_unique<PosixFile>(std::move(fd), path);
+    return {};
+  }
+
+  Status Read(const std::string& path, std::uint64_t most, std::string& bytes) override {
+    const Descriptor fd(OpenRetrying(path, O_RDONLY));
+    if (!fd) return Failed("open", path);
+    struct stat about {};
+    if (::fstat(fd.get(), &about) != 0) return Failed("stat", path);
+    if (!S_ISREG(about.st_mode)) return {{}, path + " is no file"};
+    if (static_cast<std::uint64_t>(about.st_size) > most) return {{}, path + " is too long"};
+    bytes.assign(static_cast<std::size_t>(about.st_size), '\0');
+    std::size_t got = 0;
+    while (got < bytes.size()) {
+      const ssize_t part = ::read(fd.get(), bytes.data() + got, bytes.size() - got);
+      if (part < 0 && errno == EINTR) continue;
+      if (part < 0) return Failed("read", path);
+      if (part == 0) break;
+      got += static_cast<std::size_t>(part);
+    }
+    bytes.resize(got);
+    return {};
+  }
+
+  Status Rename(const std::string& from, const std::string& to) override {
+    return ::rename(from.c_str(), to.c_str()) == 0 ? Status{} : Failed("rename", from);
+  }
+
+  Status Remove(const std::string& path) override {
+    return ::unlink(path.c_str()) == 0 ? Status{} : Failed("remove", path);
+  }
+
+  Status SyncFolder(const std::string& folder) override {
+    const Descriptor fd(OpenRetrying(folder, O_RDONLY | O_DIRECTORY));
+    if (!fd) return Failed("open", folder);
+    return ::fsync(fd.get()) == 0 ? Status{} : Failed("sync", folder);
+  }
+
+  Status List(const std::string& folder, bool make, std::vector<std::string>& names) override {
+    std::error_code ec;
+    if (make) std::filesystem::create_directories(folder, ec);
+    if (ec) return {ec, "make " + folder};
+    names.clear();
+    for (std::filesystem::directory_iterator at(folder, ec), end; !ec && at != end; at.increment(ec)) {
+      names.push_back(at->path().filename().string());
+    }
+    if (ec) return {ec, "list " + folder};
+    std::sort(names.begin(), names.end());
+    return {};
+  }
+
+  Status TakeLock(const std::string& path, std::unique_ptr<Lock>& lock) override {
+    Descriptor fd(OpenRetrying(path, O_RDWR | O_CREAT));
+    if (!fd) return Failed("open", path);
+    if (::flock(fd.get(), LOCK_EX | LOCK_NB) != 0) {
+      return errno == EWOULDBLOCK ? Status{{}, path + " is held by another process"} : Failed("lock", path);
+    }
+    lock = std::make_unique<PosixLock>(std::move(fd));
+    return {};
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<FileSystem> MakePosixFileSystem() { return std::make_unique<PosixFileSystem>(); }
+
+}  // namespace elderhead::store
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -450,8 +450,8 @@
   for (const Case& c :
        {Case{"version", 0, "elderhead "}, Case{"", 2, "subcommand"}, Case{"lab run", 2, "FILE"},
         Case{"lab run /nowhere.toml", 2, "/nowhere.toml"}, Case{"lab run --help", 0, "Example:"},
-        Case{"call 127.0.0.1:9 check", 1, "127.0.0.1:9"}, Case{"call nobody check", 2, "not an address"},
-        Case{"call 127.0.0.1:9 chek", 2, "chek"}}) {
+        Case{"state verify /nowhere", 2, "/nowhere"}, Case{"call 127.0.0.1:9 check", 1, "127.0.0.1:9"},
+        Case{"call nobody check", 2, "not an address"}, Case{"call 127.0.0.1:9 chek", 2, "chek"}}) {
     const auto [code, text] = Elderhead(c.arguments);
     EXPECT_EQ(code, c.code) << c.arguments << "\n" << text;
     EXPECT_NE(text.find(c.says), std::string::npos) << c.arguments << "\n" << text;
