Gateway: with state_dir the list of hosts and the drain outlive the process

Need: a gateway that restarts while the list service is down knows only what its configuration says, which may be old; and a drained one that dies comes back taking clients. Change: StateKeeper, a thread of its own that writes the newest state by src/store; the event loop hands it over through one atomic pointer. A list from the disk holds until discovery answers, and is marked in vars, metrics and log. Lab: vanish_host, state folders, baseline no_state. Off unless state_dir is set.

--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -108,6 +108,16 @@
   config.settings = ReadSettings(file);
   config.dial_timeout = PositiveOr(file, "/settings/limits/dialTimeoutMs", config.dial_timeout);
   config.idle_timeout = PositiveOr(file, "/settings/limits/connIdleMs", config.idle_timeout);
+  if (file.contains("state_dir") && !file["state_dir"].is_null()) {
+    const std::string folder = file["state_dir"].is_string() ? file["state_dir"].get<std::string>() : "";
+    if (folder.empty()) throw ConfigError("state_dir: must be the path of a folder");
+    const char* const name = variable("NODE_NAME");
+    const std::string own = name != nullptr ? name : Scalar(file.value("name", json("")));
+    config.state_folder = folder;
+    config.state_owner =
+        own + " at " + config.listen.address().to_string() + ":" + std::to_string(config.listen.port());
+    if (config.state_owner.find('\n') != std::string::npos) throw ConfigError("NODE_NAME: must be one line");
+  }
   if (const json::json_pointer at("/log/form"); file.contains(at)) {
     const json& form = file[at];
     if (form != "text" && form != "json") throw ConfigError("log/form: must be \"text\" or \"json\"");
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -35,6 +35,8 @@
   Millis dial_timeout = 250;
   Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
   HostList known;               // may be old
+  std::string state_folder;     // where this gateway keeps what the next process needs; empty: nowhere
+  std::string state_owner;      // whose it is: its name and clients' address
   elderhead::base::LogForm log = elderhead::base::LogForm::kText;
 };
 
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -114,8 +114,14 @@
   boost::beast::flat_buffer buffer;
 };
 
-Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, Handlers handlers)
-    : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
+Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, bool sure,
+                     Handlers handlers)
+    : io_(io),
+      address_(address),
+      revision_(revision),
+      handlers_(std::move(handlers)),
+      pause_(io),
+      moved_(!sure) {}
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;  // asking again would be one more call on a shared service
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -41,8 +41,10 @@
     std::function<void(HostList)> told;
     std::function<void()> failed;  // the watch has ended; Watch() begins a new one
   };
+  // `sure`: the revision is this service's. Else, as that of a list from the disk, it is only where the first
+  // call begins: the service may count anew by now.
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, std::int64_t revision,
-            Handlers handlers);
+            bool sure, Handlers handlers);
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
@@ -67,7 +69,7 @@
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
   boost::asio::steady_timer pause_;
   bool watching_ = false;
-  bool moved_ = false;      // and not heard from there yet
+  bool moved_;              // or not sure of the revision, and not heard from there yet
   Millis quiet_until_ = 0;  // no line on a call is logged before
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,6 +30,8 @@
 constexpr Millis kFlush = 200;             // for the last answers to leave
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
+constexpr Millis kKeepWithin = 1000;       // after news of the list it is on its way to the disk
+constexpr int kKeepSteps = 16;             // that gateways spread over
 constexpr std::size_t kSpareSockets = 40;  // listeners, operators, discovery, the loop's own, and room
 
 // Descriptors that may be used, by the configuration and by the system.
@@ -93,11 +95,13 @@
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config)
-    : Gateway(io, config, config.handover.empty() ? Inheritance{} : Inherit(config.handover, config.listen)) {
-}
+    : Gateway(
+          io, config, config.handover.empty() ? Inheritance{} : Inherit(config.handover, config.listen),
+          config.state_folder.empty() ? std::nullopt : LoadState(config.state_folder, config.state_owner)) {}
 
 // Hosts get a third of the descriptors, clients the rest: both sides together stay under the limit.
-Gateway::Gateway(asio::io_context& io, const Config& config, Inheritance inheritance)
+Gateway::Gateway(asio::io_context& io, const Config& config, Inheritance inheritance,
+                 std::optional<KeptState> kept)
     : io_(io),
       settings_(config.settings),
       policy_(config.settings, config.seed),
@@ -105,8 +109,14 @@
       most_hosts_(std::max<std::size_t>(1, Usable(config.sockets) / 3)),
       hosts_(io, {config.dial_timeout, config.idle_timeout, most_hosts_, config.memory / 4}),
       discovery_(io, config.discovery,
-                 inheritance.estate ? inheritance.estate->list.revision : config.known.revision,
-                 {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
+                 inheritance.estate ? inheritance.estate->list.revision
+                                    : std::max(config.known.revision, kept ? kept->list.revision : 0),
+                 /*sure=*/inheritance.estate || !kept || kept->list.revision <= config.known.revision,
+                 {[this](const HostList& list) {
+                    list_kept_ = false;
+                    Told(list);
+                  },
+                  [this] { ListFailed(); }}),
       figures_(config.settings),
       stop_(io),
       counting_(io),
@@ -116,6 +126,7 @@
                     [this] { return clients_.listener(); }, [this] { return Leave(); },
                     [this](double factor) { policy_.Scale(factor); }, [this](bool half) { SetPlaces(half); },
                     [this](Descriptor client) { clients_.Adopt(std::move(client)); }}),
+      keep_(io),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
                config.settings, config.memory / 4,
                {[this] { return Ready() || (stopping_ && !draining_ && replacement_.Succeeded()); },
@@ -139,7 +150,18 @@
                         [this](const std::string& call) { return Manage(call); });
   }
   const std::optional<Estate>& estate = inheritance.estate;
-  Told(estate ? estate->list : config.known);
+  // A process that still runs knows better than the disk.
+  list_kept_ = !estate && kept && kept->list.revision > config.known.revision;
+  if (!estate && kept && kept->draining) SetDraining(true);
+  Told(estate ? estate->list : list_kept_ ? kept->list : config.known);
+  if (list_kept_) {
+    base::Log(base::Level::kInfo, "state", "list_restored",
+              Words("state kept: list of revision %lld with %zu hosts in force until discovery answers, kept "
+                    "%.0f s ago",
+                    static_cast<long long>(revision_), list_.size(), (Now() - kept->kept_at) / 1000),
+              {{"revision", revision_}, {"hosts", list_.size()}, {"age_ms", Now() - kept->kept_at}});
+  }
+  if (!config.state_folder.empty()) keeper_.emplace(config.state_folder, config.state_owner);
   if (estate) policy_.Adopt(Now(), estate->learned);
   replacement_.Begin();
   if (!settings_.ask_for_list) discovery_.Watch();
@@ -215,6 +237,25 @@
   }
   Report(ToNews(list));
   replacement_.ReadyNow();
+  // Not all of a fleet at once.
+  if (keeper_ && !list_kept_ && !list_.empty()) {
+    KeepLater(kKeepWithin * (settings_.index % kKeepSteps) / kKeepSteps);
+  }
+}
+
+// One that is due already takes in what has changed since.
+void Gateway::KeepLater(Millis delay) {
+  if (!keeper_) return;
+  keep_.expires_after(Span(delay));
+  keep_.async_wait([this](error_code ec) {
+    if (!ec) keeper_->Keep({Leave().list, draining_, Now()});
+  });
+}
+
+void Gateway::SetDraining(bool on) {
+  draining_ = on;
+  clients_.Drain(on);
+  KeepLater(0);
 }
 
 void Gateway::MoveDiscovery(const asio::ip::tcp::endpoint& address) {
@@ -284,7 +325,12 @@
 // What the operators ask for, and what they are told.
 std::string Gateway::Manage(const std::string& call) {
   if (call == "vars") {
-    return figures_.ToJson(clients_.active(), list_.size(), policy_.avoided()) + "\nEOT\n";
+    std::string figures = figures_.ToJson(clients_.active(), list_.size(), policy_.avoided());
+    // With no folder for states all is as before.
+    if (keeper_)
+      figures.insert(figures.size() - 1,
+                     list_kept_ ? ",\"list_from\":\"state\"" : ",\"list_from\":\"discovery\"");
+    return figures + "\nEOT\n";
   }
   if (call == "metrics") {
     const HostPool::Counts& c = hosts_.counts();
@@ -304,7 +350,13 @@
                  number(c.stale)},
                 {"resets_total", "counter", "Connections that broke under an attempt",
                  number(c.reset_new + c.reset_reused)},
-                {"clients_left_total", "counter", "Clients that left unanswered", number(left_)}}) +
+                {"clients_left_total", "counter", "Clients that left unanswered", number(left_)},
+                {"list_from_state", "gauge", "1 while the list in force is from the disk",
+                 list_kept_ ? 1.0 : 0.0},
+                {"state_ok", "gauge", "0 once keeping state has failed",
+                 !keeper_ || keeper_->ok() ? 1.0 : 0.0},
+                {"state_writes_total", "counter", "States written to the disk",
+                 keeper_ ? number(keeper_->written()) : 0}}) +
            "EOT\n";
   }
   if (call == "check") {
@@ -315,8 +367,7 @@
   }
   if (call == "drain-on" || call == "drain-off") {
     if (stopping_) return call == "drain-on" ? "SUCCESS stopping anyway\n" : "FAILURE stopping\n";
-    draining_ = call == "drain-on";
-    clients_.Drain(draining_);
+    SetDraining(call == "drain-on");
     base::Log(base::Level::kInfo, "operators", "drain", call + " by the operators' call", {{"call", call}});
     return draining_ ? "SUCCESS draining\n" : "SUCCESS takes clients\n";
   }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "management.hpp"
 #include "opalswitch/policy.hpp"
 #include "replacement.hpp"
+#include "state_keeper.hpp"
 
 namespace opalswitch::gateway {
 
@@ -66,7 +67,8 @@
     boost::asio::steady_timer overdue;
   };
 
-  Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance);
+  Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance,
+          std::optional<KeptState> kept);
 
   Estate Leave() const;
   void SetPlaces(bool half);
@@ -83,6 +85,8 @@
   void Overdue(const std::string& id);
   std::string Manage(const std::string& call);
   bool Ready() const { return listed_ && !stopping_ && !draining_; }
+  void KeepLater(Millis delay);
+  void SetDraining(bool on);
   void CountLater();
   void LogCounts();
 
@@ -124,6 +128,9 @@
   int gone_ = 0;              // clients that left unanswered, since then
   std::uint64_t left_ = 0;    // and since the start
   Replacement replacement_;
+  std::optional<StateKeeper> keeper_;
+  boost::asio::steady_timer keep_;
+  bool list_kept_ = false;  // the list in force is from the disk, and discovery has not answered yet
   ClientServer clients_;
   std::optional<ManagementServer> management_;
 };
--- /dev/null
+++ b/src/gateway/state_keeper.cpp
@@ -0,0 +1,132 @@
+#include "state_keeper.hpp"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "base/log.hpp"
+#include "clock.hpp"
+#include "store/store.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+namespace base = elderhead::base;
+namespace store = elderhead::store;
+using nlohmann::json;
+
+constexpr std::uint16_t kVersion = 1;  // of the payload
+constexpr auto kLookAgain = std::chrono::milliseconds(50);
+constexpr auto kLastWrite = std::chrono::milliseconds(200);  // how long the process's end waits for it
+constexpr int kTryAgain = 20;  // looks, from one try for a folder that another process holds to the next
+
+void Say(base::Level level, const char* event, const std::string& text) {
+  base::Log(level, "state", event, "state kept: " + text);
+}
+
+}  // namespace
+
+std::string ToText(const KeptState& state) {
+  return json{
+      {"list", json::parse(ToText(state.list))}, {"draining", state.draining}, {"kept_at_ms", state.kept_at}}
+      .dump();
+}
+
+std::optional<KeptState> ParseKeptState(const std::string& text) {
+  const json parsed = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object() || !parsed.contains("list")) return std::nullopt;
+  const json draining = parsed.value("draining", json()), kept_at = parsed.value("kept_at_ms", json());
+  auto list = ParseHostList(parsed["list"].dump());
+  if (!list || !list->complete || !draining.is_boolean() || !kept_at.is_number()) return std::nullopt;
+  return KeptState{std::move(*list), draining.get<bool>(), kept_at.get<double>()};
+}
+
+std::optional<KeptState> LoadState(const std::string& folder, const std::string& owner) {
+  const auto files = store::MakePosixFileSystem();
+  store::Examination found;
+  const store::Status status = store::Examine(*files, folder, owner, found);
+  if (!status.ok()) {
+    if (status.code != std::errc::no_such_file_or_directory)
+      Say(base::Level::kWarning, "not_read", status.Text());
+    return std::nullopt;
+  }
+  if (!found.why.empty()) Say(base::Level::kWarning, "not_read", folder + ": " + found.why);
+  if (!found.snapshot) return std::nullopt;
+  auto state = found.snapshot->version > kVersion ? std::nullopt : ParseKeptState(found.snapshot->payload);
+  if (!state) Say(base::Level::kWarning, "not_read", folder + ": a snapshot that this program can't read");
+  return state;
+}
+
+StateKeeper::StateKeeper(std::string folder, std::string owner) : shared_(std::make_shared<Shared>()) {
+  std::thread([shared = shared_, folder = std::move(folder), owner = std::move(owner)] {
+    Write(folder, owner, *shared);
+    shared->done = true;
+  }).detach();
+}
+
+StateKeeper::~StateKeeper() {
+  shared_->stopping = true;
+  shared_->wakes.fetch_add(1);
+  shared_->wakes.notify_one();
+  const auto until = std::chrono::steady_clock::now() + kLastWrite;
+  while (!shared_->done && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+void StateKeeper::Keep(const KeptState& state) {
+  if (!shared_->ok) return;
+  delete shared_->newest.exchange(new std::string(ToText(state)));
+  shared_->wakes.fetch_add(1);
+  shared_->wakes.notify_one();
+}
+
+void StateKeeper::Write(const std::string& folder, const std::string& owner, Shared& shared) {
+  const auto files = store::MakePosixFileSystem();
+  store::StoreOptions options;
+  options.owner = owner;
+  options.program = ELDERHEAD_VERSION;
+  options.begin_after_damage =
+      true;  // a list that is newer is on its way anyway; the old files are kept aside
+  std::unique_ptr<store::Store> opened;
+  int looks = 0;
+  std::string said;
+  for (std::uint32_t seen = 0;;) {
+    const std::unique_ptr<std::string> state(shared.newest.exchange(nullptr));
+    if (!state) {
+      if (shared.stopping) return;
+      shared.wakes.wait(seen);
+      seen = shared.wakes;
+      continue;
+    }
+    while (!opened) {
+      store::Examination found;
+      if (looks++ % kTryAgain == 0) {
+        const store::Status status = store::Store::Open(*files, folder, options, opened, found);
+        if (found.found == store::Found::kForeign) {
+          Say(base::Level::kError, "not_written", status.Text() + "; it is left as it is");
+          shared.ok = false;
+          return;
+        }
+        if (!status.ok() && std::exchange(said, status.Text()) != status.Text()) {
+          Say(base::Level::kWarning, "waits", status.Text() + "; tried again every second");
+        }
+      }
+      if (opened) break;
+      if (shared.stopping) return;
+      std::this_thread::sleep_for(kLookAgain);
+    }
+    // A newer one that came meanwhile is taken in the next round.
+    const store::Status status = opened->TakeSnapshot(kVersion, *state);
+    if (!status.ok()) {
+      Say(base::Level::kError, "not_written", status.Text() + "; nothing more is kept until the next start");
+      shared.ok = false;
+      return;
+    }
+    ++shared.written;
+    shared.bytes = state->size();
+  }
+}
+
+}  // namespace opalswitch::gateway
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -30,6 +30,7 @@
                                                              {"failing_host", FaultKind::kFail},
                                                              {"mute_host", FaultKind::kMute},
                                                              {"kill_host", FaultKind::kHostKill},
+                                                             {"vanish_host", FaultKind::kHostVanish},
                                                              {"drain_host", FaultKind::kHostDrain},
                                                              {"delay", FaultKind::kDelay},
                                                              {"peers", FaultKind::kPeers},
@@ -121,6 +122,7 @@
     case FaultKind::kMute:
     case FaultKind::kHostKill:
     case FaultKind::kHostDrain:
+    case FaultKind::kHostVanish:
       f.hosts = ReadNumbers(t, "host", e.HostCount());
       f.text += " host " + t.Text("host");
       break;
@@ -192,6 +194,7 @@
     e.fleet.sockets = f->Whole("sockets", e.fleet.sockets, 64, 1 << 20);
     e.fleet.memory_mb = f->Whole("memory_mb", e.fleet.memory_mb, 16, 1 << 20);
     e.fleet.retry_after = f->Flag("retry_after", e.fleet.retry_after);
+    e.fleet.state = f->Flag("state", e.fleet.state);
     e.fleet.peers = f->Flag("peers", e.fleet.peers);
     if (e.fleet.peers && e.fleet.gateways > kMostPeers) {
       f->Fail("peers", fmt::format("takes a socket for each pair: {} gateways at most", kMostPeers));
@@ -231,7 +234,8 @@
   for (TomlTable& fault : t.Tables("faults")) e.faults.push_back(ReadFault(fault, e));
   std::stable_sort(e.faults.begin(), e.faults.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
-  const std::vector<std::string> known{"random", "round_robin", "least_inflight", "direct", "no_fault"};
+  const std::vector<std::string> known{"random", "round_robin", "least_inflight",
+                                       "direct", "no_fault",    "no_state"};
   e.baselines = t.Texts("baselines");
   for (const std::string& name : e.baselines) {
     if (std::find(known.begin(), known.end(), name) == known.end()) {
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -74,6 +74,7 @@
   int sockets = 1024;
   int memory_mb = 192;
   bool retry_after = true;
+  bool state = false;           // each gateway has a folder for its state, the same after a restart
   bool peers = false;           // gateways may send each other datagrams
   Millis ready_within = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
 };
@@ -85,22 +86,24 @@
 };
 
 enum class FaultKind {
-  kKill,       // a gateway: SIGKILL; started again after for_s
-  kStop,       // a gateway: SIGSTOP, SIGCONT after for_s
-  kTerm,       // a gateway: SIGTERM; started again when it has ended, for_s later
-  kReplace,    // a gateway: a new process beside it, SIGTERM to the old one at the new one's yes
-  kListDown,   // the list service
-  kZoneCut,    // a zone from all others: nothing passes, either way
-  kCut,        // a gateway from a host, both ways
-  kSlow,       // a host: at `size` times its speed
-  kFail,       // a host: share `size` of requests ends as 500
-  kMute,       // a host: answers nothing
-  kHostKill,   // a host: gone with its connections; back, cold, after for_s
-  kHostDrain,  // a host: drains for for_s, then is removed
-  kDelay,      // all links of a gateway: `size` ms more each way
-  kPeers,      // datagrams from and to a gateway: lost, repeated, reordered, delayed
-  kPeerCut,    // a gateway from others: datagrams between them are lost, both ways
-  kBurst,      // traffic times `size`
+  kKill,        // a gateway: SIGKILL; started again after for_s
+  kStop,        // a gateway: SIGSTOP, SIGCONT after for_s
+  kTerm,        // a gateway: SIGTERM; started again when it has ended, for_s later
+  kReplace,     // a gateway: a new process beside it, SIGTERM to the old one at the new one's yes
+  kListDown,    // the list service
+  kZoneCut,     // a zone from all others: nothing passes, either way
+  kCut,         // a gateway from a host, both ways
+  kSlow,        // a host: at `size` times its speed
+  kFail,        // a host: share `size` of requests ends as 500
+  kMute,        // a host: answers nothing
+  kHostKill,    // a host: gone with its connections; back, cold, after for_s
+  kHostVanish,  // a host: its machine is gone, nothing answers and nothing is refused; back, cold, after
+                // for_s
+  kHostDrain,   // a host: drains for for_s, then is removed
+  kDelay,       // all links of a gateway: `size` ms more each way
+  kPeers,       // datagrams from and to a gateway: lost, repeated, reordered, delayed
+  kPeerCut,     // a gateway from others: datagrams between them are lost, both ways
+  kBurst,       // traffic times `size`
 };
 
 struct Fault {
@@ -135,7 +138,7 @@
   std::vector<ClassSpec> classes;
   Traffic traffic;
   std::vector<Fault> faults;           // in the order of their times
-  std::vector<std::string> baselines;  // random, round_robin, least_inflight, direct, no_fault
+  std::vector<std::string> baselines;  // random, round_robin, least_inflight, direct, no_fault, no_state
   std::vector<Bound> bounds;
 
   // The same with no faults but those of the traffic: what the schedule alone makes of the program.
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -74,7 +74,7 @@
     peers.push_back(
         Addresses::Text(p == gateway ? s_.addresses.PeerListen(p) : s_.addresses.Peer(gateway, p)));
   }
-  return json{
+  json config{
       {"name", fmt::format("n{}", gateway)},
       {"peer_listen", Addresses::Text(s_.addresses.PeerListen(gateway))},
       {"peers", peers},
@@ -84,8 +84,9 @@
       {"seed", fmt::format("{:x}", (s_.seed << 20) + static_cast<std::uint64_t>(gateway * 1000 + start))},
       {"limits", {{"cores", 1.0}, {"memory_mb", e.fleet.memory_mb}, {"sockets", e.fleet.sockets}}},
       {"known", json::parse(s_.known(gateway))},
-      {"settings", settings}}
-      .dump();
+      {"settings", settings}};
+  if (e.fleet.state) config["state_dir"] = (s_.folder / fmt::format("g{}", gateway) / "state").string();
+  return config.dump();
 }
 
 pid_t Gateways::Start(int gateway) {
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -215,6 +215,10 @@
         list_->Change(h, "removed", 0);
       }
       if (fault.kind == FaultKind::kHostDrain) list_->Change(h, "draining", 0);
+      if (fault.kind == FaultKind::kHostVanish) {
+        for (int g = 0; g < gateways_->count(); ++g) host_links_.at({g, h})->Cut(true, true);
+        list_->Change(h, "removed", 0);
+      }
     }
     if (fault.kind == FaultKind::kListDown) list_->SetDown(true);
     if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, true);
@@ -239,6 +243,12 @@
         hosts_->Start(h);
         list_->Change(h, "up", UnixMillis());
       }
+      if (fault.kind == FaultKind::kHostVanish) {
+        hosts_->Kill(h);  // what was on its way to it is lost
+        for (int g = 0; g < gateways_->count(); ++g) host_links_.at({g, h})->Heal(true, true);
+        hosts_->Start(h);
+        list_->Change(h, "up", UnixMillis());
+      }
       if (fault.kind == FaultKind::kHostDrain) {
         hosts_->SetDraining(h, true);
         list_->Change(h, "removed", 0);
@@ -352,10 +362,13 @@
   std::vector<std::pair<std::string, std::string>> variants{{"gateway", options.gateway}};
   if (!options.earlier.empty()) variants.emplace_back("earlier", options.earlier);
   for (const std::string& name : experiment.baselines) {
-    variants.emplace_back(
-        name, name == "no_fault" ? options.gateway : options.self + " lab stand-in --policy " + name);
+    variants.emplace_back(name, name == "no_fault" || name == "no_state"
+                                    ? options.gateway
+                                    : options.self + " lab stand-in --policy " + name);
   }
   const Experiment calm = experiment.WithoutFaults();
+  Experiment stateless = experiment;
+  stateless.fleet.state = false;
   Results results{experiment.name, experiment.about, {}};
   for (int k = 0; k < options.repeats; ++k) {
     const std::uint64_t seed = options.seed + static_cast<std::uint64_t>(k);
@@ -365,8 +378,11 @@
         logs = fmt::format("{}/{}-{}-{}", options.logs, experiment.name, seed, name);
         std::filesystem::create_directories(logs);
       }
-      results.plays.push_back(
-          Stage(name == "no_fault" ? calm : experiment, name, command, seed, logs, options.progress).Run());
+      results.plays.push_back(Stage(name == "no_fault"   ? calm
+                                    : name == "no_state" ? stateless
+                                                         : experiment,
+                                    name, command, seed, logs, options.progress)
+                                  .Run());
       if (interrupted) return results;
     }
   }
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,10 +1,12 @@
 // What operators use: the management address, the figures and the drain. Each test says what it guards.
 #include <gtest/gtest.h>
 
+#include <filesystem>
 #include <set>
 #include <sstream>
 
 #include "base/log.hpp"
+#include "gateway/state_keeper.hpp"
 #include "world.hpp"
 
 namespace opalswitch::testing {
@@ -151,6 +153,101 @@
   EXPECT_EQ(samples["elderhead_at_host_seconds_count{class=\"pay\"}"], 0);
 }
 
+// A folder for one test's state.
+struct StateFolder {
+  StateFolder() { std::filesystem::remove_all(path); }
+  ~StateFolder() { std::filesystem::remove_all(path); }
+  const std::string path = ::testing::TempDir() + "forkwick-state-" + std::to_string(getpid());
+};
+
+// The listeners get free ports, so the owner is named here only.
+nlohmann::json WithState(const StateFolder& folder, const std::string& name = "n1") {
+  return {{"state_dir", folder.path}, {"name", name}};
+}
+
+// Guards what a gateway keeps: after its end the next one has the newest list and the drain, marked as from
+// the disk until discovery answers, even by a service that counts anew.
+TEST(State, OutlivesTheProcess) {
+  const StateFolder folder;
+  {
+    World world(2, TestSettings(), 300, WithState(folder));
+    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+    world.discovery.requests[0].Answer(
+        200, List(42, false, {Member("h1", world.host(1).address(), "removed")}).dump());
+    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 2; }));
+    EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+    ASSERT_TRUE(world.Until([&] {
+      return world.Call("metrics\n").find("elderhead_state_writes_total 1\n") != std::string::npos ||
+             world.Call("metrics\n").find("elderhead_state_writes_total 2\n") != std::string::npos;
+    }));
+    ASSERT_TRUE(world.Until([&] {
+      const auto kept = gateway::LoadState(folder.path, world.owner());
+      return kept && kept->draining && kept->list.revision == 42;
+    }));
+    EXPECT_EQ(world.Vars()["list_from"], "discovery");
+    world.gateway.reset();
+    EXPECT_FALSE(gateway::LoadState(folder.path, "another"));
+    const auto kept = gateway::LoadState(folder.path, world.owner());
+    ASSERT_TRUE(kept);
+    world.Restart();  // discovery has not answered it
+    EXPECT_EQ(world.Vars()["list_from"], "state");
+    EXPECT_EQ(world.Vars()["pool_size"], 1);
+    EXPECT_TRUE(world.Call("check\n").starts_with("FAILURE draining"));
+    EXPECT_TRUE(world.Call("drain-off\n").starts_with("SUCCESS"));
+    const std::size_t asked = world.discovery.requests.size();
+    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() > asked || asked >= 3; }));
+    world.discovery.requests.back().Answer(
+        200,
+        List(7, true, {Member("h0", world.host(0).address()), Member("h1", world.host(1).address())}).dump());
+    ASSERT_TRUE(world.Until([&] { return world.Vars()["pool_size"] == 2; }));
+    EXPECT_EQ(world.Vars()["list_from"], "discovery");
+  }
+}
+
+// Guards the start beside a state that is damaged, of a newer program or no folder at all: without it, and
+// serving.
+TEST(State, IsDoneWithoutWhereItCantBeHad) {
+  const StateFolder folder;
+  for (const int damage : {0, 1, 2}) {
+    std::filesystem::remove_all(folder.path);
+    World world(1, TestSettings(), 300, WithState(folder));
+    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+    world.discovery.requests[0].Answer(200, List(42, true, {Member("h0", world.host().address())}).dump());
+    ASSERT_TRUE(world.Until([&] { return gateway::LoadState(folder.path, world.owner()).has_value(); }));
+    world.gateway.reset();
+    for (const auto& entry : std::filesystem::directory_iterator(folder.path)) {
+      if (damage == 0) std::ofstream(entry.path()) << "not what was written";
+      if (damage == 1)
+        std::filesystem::resize_file(entry.path(), std::filesystem::file_size(entry.path()) / 2);
+    }
+    if (damage == 2) {
+      std::filesystem::remove_all(folder.path);
+      std::ofstream(folder.path) << "a file stands where the folder was";
+    }
+    EXPECT_FALSE(gateway::LoadState(folder.path, world.owner()));
+    world.Restart();
+    EXPECT_TRUE(world.Call("check\n").starts_with("SUCCESS"));
+    world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+    const auto client = world.Connect();
+    client->Send(ApiCall("r"));
+    EXPECT_EQ(client->Await(1).result_int(), 200u);
+  }
+}
+
+TEST(State, IsReadWholeOrNotAtAll) {
+  const std::string good = ToText(gateway::KeptState{{42, true, {}}, true, 5});
+  ASSERT_TRUE(gateway::ParseKeptState(good));
+  EXPECT_TRUE(gateway::ParseKeptState(good)->draining);
+  for (const char* bad :
+       {"", "[]", "{}", R"({"list":{"revision":1,"complete":true,"members":[]}})",
+        R"({"list":{"revision":1,"complete":false,"members":[]},"draining":false,"kept_at_ms":1})",
+        R"({"list":{"revision":1,"complete":true,"members":[{}]},"draining":false,"kept_at_ms":1})",
+        R"({"list":7,"draining":false,"kept_at_ms":1})",
+        R"({"list":{"revision":1,"complete":true,"members":[]},"draining":"no","kept_at_ms":1})"}) {
+    EXPECT_FALSE(gateway::ParseKeptState(bad)) << bad;
+  }
+}
+
 // Guards the log's two forms: the words stay, and what is named in them are fields for a machine, on one
 // line.
 TEST(Log, IsTextOrOneObjectALine) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -20,17 +20,18 @@
 struct World {
   // Starts the gateway, which knows hosts h0, h1 ... from its configuration.
   explicit World(std::size_t hosts_wanted = 1, nlohmann::json settings = TestSettings(),
-                 std::size_t sockets = 300) {
+                 std::size_t sockets = 300, const nlohmann::json& more = nlohmann::json::object()) {
     std::vector<nlohmann::json> members;
     for (std::size_t i = 0; i < hosts_wanted; ++i) {
       hosts.push_back(std::make_unique<Peer>(io));
       members.push_back(Member("h" + std::to_string(i), hosts.back()->address()));
     }
-    const nlohmann::json file = {{"seed", "5"},
-                                 {"limits", {{"sockets", sockets}}},
-                                 {"known", List(41, true, members)},
-                                 {"mgmt", "127.0.0.1:0"},
-                                 {"settings", std::move(settings)}};
+    nlohmann::json file = {{"seed", "5"},
+                           {"limits", {{"sockets", sockets}}},
+                           {"known", List(41, true, members)},
+                           {"mgmt", "127.0.0.1:0"},
+                           {"settings", std::move(settings)}};
+    file.update(more);
     const std::string path = ::testing::TempDir() + "forkwick-" + std::to_string(getpid()) + ".json";
     std::ofstream(path) << file;
     const std::map<std::string, std::string> variables = {{"NODE_CONFIG", path},
@@ -41,9 +42,17 @@
       return found == variables.end() ? nullptr : found->second.c_str();
     });
     std::remove(path.c_str());
-    gateway.emplace(io, config);
+    config_ = config;
+    Restart();
   }
 
+  // The process's end and the next one's start, on the same configuration.
+  void Restart() {
+    gateway.reset();
+    gateway.emplace(io, config_);
+  }
+  const std::string& owner() const { return config_.state_owner; }
+
   template <typename Done>
   ::testing::AssertionResult Until(Done done) {
     if (RunUntil(io, done)) return ::testing::AssertionSuccess();
@@ -74,6 +83,9 @@
   Peer discovery{io};
   std::vector<std::unique_ptr<Peer>> hosts;
   std::optional<gateway::Gateway> gateway;
+
+ private:
+  ::opalswitch::gateway::Config config_;
 };
 
 }  // namespace opalswitch::testing
