elderhead run: keeps one gateway alive, gives up on a loop, tries once without its state

Need: a gateway that crashed stays down until somebody looks, and a state that makes it crash would keep it down. Change: Supervisor decides (no clock, no I/O, no randomness): capped, jittered waits, a loop of eight crashes in two minutes ends it with exit code 4, two crashes soon after a start lead to one start without the state; elderhead run is the shell round it and passes signals on. Off unless called. Result: tests of both; a command that ends with 7, by signal 9 and well is started three times, the third without state.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "cli/call.hpp"
+#include "cli/run.hpp"
 #include "cli/state.hpp"
 #include "gateway/config.hpp"
 #include "lab/lab.hpp"
@@ -210,6 +211,15 @@
     };
   });
 
+  std::string command = options.gateway;
+  CLI::App* const keep = app.add_subcommand("run", "Keeps one gateway alive: starts it again after a crash");
+  keep->add_option("--command", command, "What to start, for /bin/sh")->capture_default_str();
+  keep->footer(
+      "Exit codes: the command's own once it ends as told or by itself with 0, 128 + N after signal N, 4 "
+      "given up on a "
+      "crash loop.\nExample: NODE_CONFIG=n3.json elderhead run");
+  keep->callback([&] { chosen = [&] { return cli::KeepRunning(command); }; });
+
   CLI::App* const state =
       app.add_subcommand("state", "Looks at a folder that a program keeps its state in; never writes there");
   state->require_subcommand(1);
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -114,6 +114,7 @@
     const char* const name = variable("NODE_NAME");
     const std::string own = name != nullptr ? name : Scalar(file.value("name", json("")));
     config.state_folder = folder;
+    config.state_loaded = variable("ELDERHEAD_WITHOUT_STATE") == nullptr;
     config.state_owner =
         own + " at " + config.listen.address().to_string() + ":" + std::to_string(config.listen.port());
     if (config.state_owner.find('\n') != std::string::npos) throw ConfigError("NODE_NAME: must be one line");
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -36,6 +36,7 @@
   Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
   HostList known;               // may be old
   std::string state_folder;     // where this gateway keeps what the next process needs; empty: nowhere
+  bool state_loaded = true;     // else this start goes without what stands there, and replaces it
   std::string state_owner;      // whose it is: its name and clients' address
   elderhead::base::LogForm log = elderhead::base::LogForm::kText;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,9 +95,10 @@
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config)
-    : Gateway(
-          io, config, config.handover.empty() ? Inheritance{} : Inherit(config.handover, config.listen),
-          config.state_folder.empty() ? std::nullopt : LoadState(config.state_folder, config.state_owner)) {}
+    : Gateway(io, config, config.handover.empty() ? Inheritance{} : Inherit(config.handover, config.listen),
+              config.state_folder.empty() || !config.state_loaded
+                  ? std::nullopt
+                  : LoadState(config.state_folder, config.state_owner)) {}
 
 // Hosts get a third of the descriptors, clients the rest: both sides together stay under the limit.
 Gateway::Gateway(asio::io_context& io, const Config& config, Inheritance inheritance,
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -15,6 +15,7 @@
 #include <sstream>
 
 #include "base/histogram.hpp"
+#include "base/supervisor.hpp"
 #include "lab/host_model.hpp"
 #include "lab/peer_net.hpp"
 #include "lab/recorder.hpp"
@@ -531,6 +532,74 @@
   std::filesystem::remove(file);
 }
 
+TEST(Supervisor, StartsAgainWaitsLongerAndGivesUp) {
+  using base::Supervisor;
+  using Next = Supervisor::Next;
+  struct Step {
+    Millis at, ran;
+    bool told, with_state;
+    Next next;
+    Millis least, most;  // of the wait
+  };
+  const std::vector<std::vector<Step>> stories{
+      // Told to end, or ended well: no more.
+      {{1000, 500, true, true, Next::kStop, 0, 0}},
+      // Long runs: each crash is the first.
+      {{100000, 90000, false, true, Next::kStart, 100, 200},
+       {300000, 90000, false, true, Next::kStart, 100, 200}},
+      // Two at once after a start with a state: once without; then with it again.
+      {{1000, 900, false, true, Next::kStart, 100, 200},
+       {3000, 900, false, true, Next::kStartWithoutState, 200, 400},
+       {5000, 900, false, false, Next::kStart, 400, 800},
+       {9000, 900, false, true, Next::kStart, 800, 1600},
+       {19000, 8000, false, true, Next::kStart, 1600, 3200},  // longer than a state's fault takes
+       {26000, 900, false, true, Next::kStart, 3200, 6400},
+       {40000, 900, false, true, Next::kStartWithoutState, 6400, 12800},
+       {60000, 900, false, false, Next::kGiveUp, 0, 0}},
+      // The same crashes spread over more time are no loop.
+      {{0, 900, false, false, Next::kStart, 100, 200},
+       {40000, 900, false, false, Next::kStart, 200, 400},
+       {80000, 900, false, false, Next::kStart, 400, 800},
+       {120000, 900, false, false, Next::kStart, 800, 1600},
+       {160000, 900, false, false, Next::kStart, 1600, 3200},
+       {200000, 900, false, false, Next::kStart, 3200, 6400},
+       {240000, 900, false, false, Next::kStart, 6400, 12800},
+       {280000, 900, false, false, Next::kStart, 12800, 25600},
+       {320000, 900, false, false, Next::kStart, 15000, 30000}}};
+  for (const auto& story : stories) {
+    for (const double draw : {0.0, 1.0}) {
+      Supervisor supervisor({});
+      for (const Step& step : story) {
+        const auto decision = supervisor.Ended({step.at, step.ran, step.told, step.with_state}, draw);
+        EXPECT_EQ(decision.next, step.next) << "at " << step.at;
+        EXPECT_EQ(decision.wait, draw == 0 ? step.least : step.most) << "at " << step.at;
+      }
+    }
+  }
+}
+
+// The same with processes: a crash is followed by a start, the third without state, and an end as told ends
+// it all.
+TEST(Program, KeepsACommandRunning) {
+  const std::string folder = ::testing::TempDir() + "run-" + std::to_string(getpid());
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder + "/command")
+      << "echo \"start$ELDERHEAD_WITHOUT_STATE\" >> " << folder << "/starts\n"
+      << "n=$(wc -l < " << folder << "/starts)\n"
+      << "[ $n -eq 1 ] && exit 7\n[ $n -eq 2 ] && kill -9 $$\n[ $n -eq 3 ] && exit 0\n";
+  const auto [code, out] = Elderhead("run --command 'sh " + folder + "/command'");
+  EXPECT_EQ(code, 0) << out;
+  EXPECT_NE(out.find("exit code 7"), std::string::npos) << out;
+  EXPECT_NE(out.find("signal 9"), std::string::npos) << out;
+  std::stringstream starts;
+  starts << std::ifstream(folder + "/starts").rdbuf();
+  EXPECT_EQ(starts.str(), "start\nstart\nstart1\n");
+  const auto [term, words] =
+      Elderhead("run --command 'sleep 20' & sleep 0.5; kill -TERM $!; wait $!; exit $?");
+  EXPECT_EQ(term, 128 + SIGTERM) << words;
+  std::filesystem::remove_all(folder);
+}
+
 // A gateway that never becomes ready is named in time; and a lab that is killed leaves no process behind.
 TEST(Program, NamesWhoIsNotReadyAndLeavesNothingBehind) {
   const std::string file = ::testing::TempDir() + "never.toml";
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -189,6 +189,8 @@
     EXPECT_FALSE(gateway::LoadState(folder.path, "another"));
     const auto kept = gateway::LoadState(folder.path, world.owner());
     ASSERT_TRUE(kept);
+    world.Restart(/*with_state=*/false);  // as after two crashes upon it
+    EXPECT_EQ(world.Vars()["pool_size"], 2);
     world.Restart();  // discovery has not answered it
     EXPECT_EQ(world.Vars()["list_from"], "state");
     EXPECT_EQ(world.Vars()["pool_size"], 1);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -47,7 +47,8 @@
   }
 
   // The process's end and the next one's start, on the same configuration.
-  void Restart() {
+  void Restart(bool with_state = true) {
+    config_.state_loaded = with_state;
     gateway.reset();
     gateway.emplace(io, config_);
   }
