Gateway: a file that may not grow fails its write and ends nobody; lab limits file sizes

Need: the lab's first play with state on a disk that takes 1 KB a file ended all three gateways by SIGXFSZ.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -17,6 +17,8 @@
   try {
     const auto variable = [](const char* name) -> const char* { return std::getenv(name); };
     const gw::Config config = gw::LoadConfig(variable);
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is an error of the write, and no reason to end
+    std::signal(SIGPIPE, SIG_IGN);  // so is a log that nobody reads any more
     base::SetLogForm(config.log);
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -194,6 +194,7 @@
     e.fleet.sockets = f->Whole("sockets", e.fleet.sockets, 64, 1 << 20);
     e.fleet.memory_mb = f->Whole("memory_mb", e.fleet.memory_mb, 16, 1 << 20);
     e.fleet.retry_after = f->Flag("retry_after", e.fleet.retry_after);
+    e.fleet.file_kb = f->Whole("file_kb", e.fleet.file_kb, 0, 1 << 30);
     e.fleet.state = f->Flag("state", e.fleet.state);
     e.fleet.peers = f->Flag("peers", e.fleet.peers);
     if (e.fleet.peers && e.fleet.gateways > kMostPeers) {
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -74,6 +74,7 @@
   int sockets = 1024;
   int memory_mb = 192;
   bool retry_after = true;
+  int file_kb = 0;              // limit on a file that a gateway writes, as a full disk is; 0: none
   bool state = false;           // each gateway has a folder for its state, the same after a restart
   bool peers = false;           // gateways may send each other datagrams
   Millis ready_within = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -101,6 +101,7 @@
   ProcessSpec spec;
   spec.command = s_.command;
   spec.log = s_.logs.empty() ? "/dev/null" : fmt::format("{}/gateway-{}.log", s_.logs, gateway);
+  spec.file_bytes = static_cast<std::uint64_t>(s_.experiment.fleet.file_kb) * 1024;
   spec.descriptors = static_cast<std::uint64_t>(s_.experiment.fleet.sockets);
   spec.variables = {{"NODE_NAME", fmt::format("n{}", gateway)},
                     {"NODE_LISTEN", Addresses::Text(s_.addresses.Gateway(gateway))},
--- a/src/lab/hosts.hpp
+++ b/src/lab/hosts.hpp
@@ -46,7 +46,7 @@
   void SetDraining(int host, bool draining) { At(host).draining = draining; }
 
   struct Counts {
-    std::uint64_t reached = 0, begun = 0, served = 0, turned_away = 0, failed = 0, cancelled = 0, wasted = 0;
+    std::uint64_t reached = 0, begun = 0, served = 0, turned_away = 0, failed = 0, cancelled = 0;
     std::uint64_t connections = 0;
   };
   const Counts& counts() const { return counts_; }
--- a/src/lab/http.hpp
+++ b/src/lab/http.hpp
@@ -97,7 +97,6 @@
   void Exchange(std::string request, Millis patience, Done done, std::function<void()> written = {});
   void Close();
   bool usable() const { return open_ && !done_; }
-  bool fresh() const { return exchanges_ == 0; }
   int exchanges() const { return exchanges_; }
   const tcp::endpoint& to() const { return to_; }
 
--- a/src/lab/processes.cpp
+++ b/src/lab/processes.cpp
@@ -8,8 +8,6 @@
 
 #include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 namespace elderhead::lab {
@@ -116,18 +114,4 @@
   }
 }
 
-Millis Processes::Cpu(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text;
-  std::getline(file, text);
-  const std::size_t end = text.rfind(')');
-  if (end == std::string::npos) return 0;
-  std::istringstream fields(text.substr(end + 1));
-  std::string skipped;
-  double user = 0, system = 0;
-  for (int i = 0; i < 11; ++i) fields >> skipped;
-  fields >> user >> system;
-  return (user + system) * 1000 / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 }  // namespace elderhead::lab
--- a/src/lab/processes.hpp
+++ b/src/lab/processes.hpp
@@ -46,10 +46,6 @@
   void Signal(pid_t pid, int signal);
   // Kills all; what they used is still told. Returns when none is left.
   void EndAll();
-  std::size_t running() const { return running_.size(); }
-
-  // CPU time of a running process in ms, and its resident memory in MB; 0 where the system does not tell.
-  static Millis Cpu(pid_t pid);
 
  private:
   void Reap();
