--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,4 +1,6 @@
-// The gateway: turns what sockets and timers report into the policy's events, and carries out its actions.
+// src/gateway: sockets, files and signals of one gateway. No decision on requests, and nothing that another
+// program needs. This: turns what sockets and timers report into the policy's events, and carries out its
+// actions.
 #ifndef OPALSWITCH_GATEWAY_GATEWAY_HPP_
 #define OPALSWITCH_GATEWAY_GATEWAY_HPP_
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -26,6 +26,7 @@
                                                              {"list_down", FaultKind::kListDown},
                                                              {"zone_cut", FaultKind::kZoneCut},
                                                              {"cut", FaultKind::kCut},
+                                                             {"reset", FaultKind::kReset},
                                                              {"slow_host", FaultKind::kSlow},
                                                              {"failing_host", FaultKind::kFail},
                                                              {"mute_host", FaultKind::kMute},
@@ -106,7 +107,8 @@
   f.lasts = t.Number("for_s", 0, kNotNegative) * kMs;
   f.text = what;
   switch (f.kind) {
-    case FaultKind::kCut: f.hosts = ReadNumbers(t, "host", e.HostCount()); [[fallthrough]];
+    case FaultKind::kCut:
+    case FaultKind::kReset: f.hosts = ReadNumbers(t, "host", e.HostCount()); [[fallthrough]];
     case FaultKind::kKill:
     case FaultKind::kStop:
     case FaultKind::kTerm:
@@ -137,6 +139,12 @@
   if (f.kind == FaultKind::kSlow || f.kind == FaultKind::kDelay || f.kind == FaultKind::kBurst) {
     f.size = t.Number("size", kAboveZero);
     f.text += fmt::format(" x{:g}", f.size);
+    if (f.kind == FaultKind::kDelay) f.jitter = t.Number("jitter_ms", 0, kNotNegative);
+  } else if (f.kind == FaultKind::kCut) {
+    const std::string way = t.Word("way", "both", {"both", "there", "back"});
+    f.there = way != "back";
+    f.back = way != "there";
+    if (way != "both") f.text += " " + way;
   } else if (f.kind == FaultKind::kPeers) {
     f.weather = {t.Number("loss", 0, kShare), t.Number("repeat", 0, kShare), t.Number("reorder", 0, kShare),
                  t.Number("delay_ms", 0, kNotNegative)};
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -93,7 +93,8 @@
   kReplace,     // a gateway: a new process beside it, SIGTERM to the old one at the new one's yes
   kListDown,    // the list service
   kZoneCut,     // a zone from all others: nothing passes, either way
-  kCut,         // a gateway from a host, both ways
+  kCut,         // a gateway from a host: both ways, `there` (to the host) or `back`
+  kReset,       // all connections between a gateway and a host break, once
   kSlow,        // a host: at `size` times its speed
   kFail,        // a host: share `size` of requests ends as 500
   kMute,        // a host: answers nothing
@@ -101,7 +102,7 @@
   kHostVanish,  // a host: its machine is gone, nothing answers and nothing is refused; back, cold, after
                 // for_s
   kHostDrain,   // a host: drains for for_s, then is removed
-  kDelay,       // all links of a gateway: `size` ms more each way
+  kDelay,       // all links of a gateway: `size` ms more each way, and up to `jitter` ms by chance
   kPeers,       // datagrams from and to a gateway: lost, repeated, reordered, delayed
   kPeerCut,     // a gateway from others: datagrams between them are lost, both ways
   kBurst,       // traffic times `size`
@@ -116,6 +117,8 @@
   std::string zone;
   double size = 1;
   std::vector<int> peers;
+  bool there = true, back = true;  // of a cut
+  Millis jitter = 0;
   PeerWeather weather;
   std::string text;  // as in the file, for reports
 };
--- a/src/lab/hosts.cpp
+++ b/src/lab/hosts.cpp
@@ -74,6 +74,14 @@
   if (!At(number).up) Open(At(number), Now());
 }
 
+void Hosts::Reset(int number, int gateway) {
+  std::vector<std::shared_ptr<ServerConnection>> between;
+  for (const auto& connection : At(number).connections) {
+    if (connection->peer == gateway) between.push_back(connection);
+  }
+  for (const auto& connection : between) connection->Close(/*reset=*/true);
+}
+
 void Hosts::SetSpeed(int number, double factor) {
   Host& host = At(number);
   host.model->SetSpeed(Now(), factor);
@@ -89,6 +97,7 @@
                                  [this, &host](const auto& connection) { Closed(host, connection); }});
   const auto connection =
       std::make_shared<ServerConnection>(std::move(socket), s_.link(gateway, host.number), handlers);
+  connection->peer = gateway;
   host.connections.insert(connection);
   connection->Begin();
 }
--- a/src/lab/hosts.hpp
+++ b/src/lab/hosts.hpp
@@ -40,8 +40,9 @@
   void SetSpeed(int host, double factor);
   void SetErrors(int host, double share) { At(host).errors = share; }
   void SetMute(int host, bool mute) { At(host).mute = mute; }
-  void Kill(int host);   // its connections break, new ones are refused
-  void Start(int host);  // cold
+  void Kill(int host);                // its connections break, new ones are refused
+  void Start(int host);               // cold
+  void Reset(int host, int gateway);  // the connections between them break
   // From now on it turns requests away, if it drains.
   void SetDraining(int host, bool draining) { At(host).draining = draining; }
 
--- a/src/lab/http.hpp
+++ b/src/lab/http.hpp
@@ -42,7 +42,8 @@
   int requests() const { return requests_; }
   // Since when no request is on; nothing while one is.
   std::optional<Millis> idle_since() const { return answering_ ? std::nullopt : std::optional(idle_since_); }
-  std::uint64_t tag = 0;  // the owner's
+  std::uint64_t tag = 0;  // the owner's, as is the next
+  int peer = -1;
 
  private:
   void Read();
--- a/src/lab/link.hpp
+++ b/src/lab/link.hpp
@@ -6,6 +6,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/random/linear_congruential.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -28,13 +31,14 @@
  public:
   enum class Way { kThere, kBack };  // from the gateway, and to it
 
-  explicit Link(boost::asio::io_context& io) : io_(io) {}
+  explicit Link(boost::asio::io_context& io, std::uint64_t seed = 1) : io_(io), random_(seed) {}
   Link(const Link&) = delete;
 
   void Pass(Way way, std::function<void()> message) {
     if (cut(way)) return waiting_.emplace_back(way, std::move(message)), void();
-    if (delay_ <= 0) return message();
-    const auto timer = std::make_shared<boost::asio::steady_timer>(io_, Span(delay_));
+    if (delay_ <= 0 && jitter_ <= 0) return message();
+    const Millis chance = jitter_ * boost::random::uniform_01<double>()(random_);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(io_, Span(delay_ + chance));
     timer->async_wait([this, timer, way, message = std::move(message)](boost::system::error_code ec) mutable {
       if (ec) return;
       if (cut(way)) return waiting_.emplace_back(way, std::move(message)), void();
@@ -59,7 +63,10 @@
     }
     for (auto& [way, message] : passing) message();
   }
-  void AddDelay(Millis more) { delay_ = std::max(0.0, delay_ + more); }
+  void AddDelay(Millis more, Millis jitter) {
+    delay_ = std::max(0.0, delay_ + more);
+    jitter_ = std::max(0.0, jitter_ + jitter);
+  }
 
   bool cut(Way way) const { return (way == Way::kThere ? cuts_there_ : cuts_back_) > 0; }
   bool cut() const { return cuts_there_ > 0 || cuts_back_ > 0; }
@@ -71,7 +78,8 @@
  private:
   boost::asio::io_context& io_;
   int cuts_there_ = 0, cuts_back_ = 0;
-  Millis delay_ = 0, healed_at_ = 0;
+  boost::random::minstd_rand random_;
+  Millis delay_ = 0, jitter_ = 0, healed_at_ = 0;
   std::vector<std::pair<Way, std::function<void()>>> waiting_;
   std::function<void()> watcher_;
 };
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -78,7 +78,8 @@
     const int gateways = direct_ ? 1 : e_.fleet.gateways;
     for (int g = 0; g < gateways; ++g) {
       list_links_.push_back(std::make_unique<Link>(io_));
-      for (int h = 0; h < e_.HostCount(); ++h) host_links_[{g, h}] = std::make_unique<Link>(io_);
+      for (int h = 0; h < e_.HostCount(); ++h)
+        host_links_[{g, h}] = std::make_unique<Link>(io_, seed + static_cast<std::uint64_t>(g * 1000 + h));
     }
     hosts_ = std::make_unique<Hosts>(
         Hosts::Setting{io_, e_, addresses_, rules_,
@@ -199,13 +200,16 @@
       if (fault.kind == FaultKind::kTerm) gateways_->Terminate(g, fault.lasts);
       if (fault.kind == FaultKind::kReplace) gateways_->Replace(g);
       if (fault.kind == FaultKind::kCut) {
-        for (const int h : fault.hosts) host_links_.at({g, h})->Cut(true, true);
+        for (const int h : fault.hosts) host_links_.at({g, h})->Cut(fault.there, fault.back);
       }
-      if (fault.kind == FaultKind::kDelay) Delay(g, fault.size);
+      if (fault.kind == FaultKind::kReset) {
+        for (const int h : fault.hosts) hosts_->Reset(h, g);
+      }
+      if (fault.kind == FaultKind::kDelay) Delay(g, fault.size, fault.jitter);
       if (fault.kind == FaultKind::kPeers) peers_->SetWeather(g, fault.weather);
       if (fault.kind == FaultKind::kPeerCut) CutPeers(g, fault.peers, true);
     }
-    if (fault.kind == FaultKind::kCut) return;
+    if (fault.kind == FaultKind::kCut || fault.kind == FaultKind::kReset) return;
     for (const int h : fault.hosts) {
       if (fault.kind == FaultKind::kSlow) hosts_->SetSpeed(h, fault.size);
       if (fault.kind == FaultKind::kFail) hosts_->SetErrors(h, fault.size);
@@ -228,9 +232,9 @@
     for (const int g : fault.gateways) {
       if (fault.kind == FaultKind::kStop) gateways_->Continue(g);
       if (fault.kind == FaultKind::kCut) {
-        for (const int h : fault.hosts) host_links_.at({g, h})->Heal(true, true);
+        for (const int h : fault.hosts) host_links_.at({g, h})->Heal(fault.there, fault.back);
       }
-      if (fault.kind == FaultKind::kDelay) Delay(g, -fault.size);
+      if (fault.kind == FaultKind::kDelay) Delay(g, -fault.size, -fault.jitter);
       if (fault.kind == FaultKind::kPeers) peers_->SetWeather(g, {});
       if (fault.kind == FaultKind::kPeerCut) CutPeers(g, fault.peers, false);
     }
@@ -258,9 +262,9 @@
     if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, false);
   }
 
-  void Delay(int gateway, Millis more) {
-    for (int h = 0; h < hosts_->count(); ++h) host_links_.at({gateway, h})->AddDelay(more);
-    list_links_[static_cast<std::size_t>(gateway)]->AddDelay(more);
+  void Delay(int gateway, Millis more, Millis jitter) {
+    for (int h = 0; h < hosts_->count(); ++h) host_links_.at({gateway, h})->AddDelay(more, jitter);
+    list_links_[static_cast<std::size_t>(gateway)]->AddDelay(more, jitter);
   }
 
   void CutPeers(int gateway, const std::vector<int>& others, bool cut) {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -17,6 +17,7 @@
 #include "base/histogram.hpp"
 #include "base/supervisor.hpp"
 #include "lab/host_model.hpp"
+#include "lab/link.hpp"
 #include "lab/peer_net.hpp"
 #include "lab/recorder.hpp"
 #include "lab/results.hpp"
@@ -389,6 +390,42 @@
   EXPECT_THROW(ResultsFromJson("{}", "x"), std::runtime_error);
 }
 
+// Messages over a link: in time, late by the delay and no more than the jitter, held by a cut of their way
+// alone.
+TEST(Link, DelaysJittersAndCutsEachWay) {
+  boost::asio::io_context io;
+  Link link(io, 3);
+  std::vector<std::string> passed;
+  const auto send = [&](Link::Way way, const char* what) {
+    link.Pass(way, [&passed, what] { passed.push_back(what); });
+  };
+  const auto settle = [&](int ms) {
+    io.run_for(std::chrono::milliseconds(ms));
+    io.restart();
+  };
+  send(Link::Way::kThere, "at once");
+  EXPECT_EQ(passed.size(), 1U);
+  link.AddDelay(20, 30);
+  std::vector<Millis> took;
+  for (int i = 0; i < 50; ++i) {
+    link.Pass(Link::Way::kThere, [&took, sent = Now()] { took.push_back(Now() - sent); });
+  }
+  settle(150);
+  ASSERT_EQ(took.size(), 50U);
+  EXPECT_GE(*std::min_element(took.begin(), took.end()), 20);
+  EXPECT_GT(*std::max_element(took.begin(), took.end()) - *std::min_element(took.begin(), took.end()), 10);
+  link.AddDelay(-20, -30);
+  link.Cut(true, false);
+  send(Link::Way::kThere, "held");
+  send(Link::Way::kBack, "back");
+  EXPECT_EQ(passed.back(), "back");
+  link.Cut(true, true);
+  link.Heal(true, true);
+  EXPECT_EQ(passed.back(), "back");  // the first cut is still there
+  link.Heal(true, false);
+  EXPECT_EQ(passed.back(), "held");
+}
+
 // What two gateways hear of each other: all of it in order, then what the weather leaves, then nothing.
 TEST(PeerNet, LosesRepeatsReordersAndCuts) {
   namespace asio = boost::asio;
