One piece of code where two did the same: spans, variants, addresses, the kept list

Need: a read of the whole change found a timer span, a list of variants and a reader of addresses written twice, and the state keeper gathering all that was learned only to drop it. Change: the gateway's clock takes base's Span; plot and results share Variants; elderhead call reads addresses as the gateway does; Listed() gives the list alone. Behaviour as before.

--- a/src/cli/call.cpp
+++ b/src/cli/call.cpp
@@ -5,9 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 #include <chrono>
 
+#include "gateway/discovery.hpp"
+
 namespace elderhead::cli {
 namespace {
 
@@ -18,13 +19,8 @@
 CallAnswer Call(const std::string& address, const std::string& call) {
   namespace asio = boost::asio;
   using boost::system::error_code;
-  const std::size_t colon = address.rfind(':');
-  error_code ec;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-  std::uint16_t port = 0;
-  const char* const last = address.data() + address.size();
-  if (colon == std::string::npos || ec ||
-      std::from_chars(address.data() + colon + 1, last, port).ptr != last || port == 0) {
+  const auto to = opalswitch::gateway::ParseEndpoint(address);
+  if (!to || to->port() == 0) {
     throw std::invalid_argument("'" + address + "' is not an address and port, such as 127.0.0.1:3001");
   }
   asio::io_context io(1);
@@ -32,7 +28,7 @@
   CallAnswer answer;
   error_code failed = asio::error::timed_out;
   const std::string line = call + "\n";
-  socket.async_connect({ip, port}, [&](error_code connect_ec) {
+  socket.async_connect(*to, [&](error_code connect_ec) {
     if (connect_ec) return failed = connect_ec, void();
     asio::async_write(socket, asio::buffer(line), [&](error_code write_ec, std::size_t) {
       if (write_ec) return failed = write_ec, void();
--- a/src/gateway/clock.hpp
+++ b/src/gateway/clock.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 
+#include "base/clock.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -19,10 +20,7 @@
   return since(std::chrono::steady_clock::now()) + shift;
 }
 
-// A span for asio's timers, which take no fractions.
-inline std::chrono::microseconds Span(Millis ms) {
-  return std::chrono::microseconds(ms > 0 ? static_cast<std::int64_t>(ms * 1000) : 0);
-}
+using elderhead::base::Span;
 
 }  // namespace opalswitch::gateway
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -249,7 +249,7 @@
   if (!keeper_) return;
   keep_.expires_after(Span(delay));
   keep_.async_wait([this](error_code ec) {
-    if (!ec) keeper_->Keep({Leave().list, draining_, Now()});
+    if (!ec) keeper_->Keep({Listed(), draining_, Now()});
   });
 }
 
@@ -524,14 +524,15 @@
   hosts_.SetMost(half ? std::max<std::size_t>(1, most_hosts_ / 2) : most_hosts_);
 }
 
-Estate Gateway::Leave() const {
-  Estate estate;
-  estate.list.revision = revision_;
-  for (const auto& [id, host] : list_) estate.list.hosts.push_back(host);
-  estate.learned = policy_.Remember();
-  return estate;
+HostList Gateway::Listed() const {
+  HostList list;
+  list.revision = revision_;
+  for (const auto& [id, host] : list_) list.hosts.push_back(host);
+  return list;
 }
 
+Estate Gateway::Leave() const { return {Listed(), policy_.Remember()}; }
+
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
   if (replacement_.Succeeded()) return LeaveTo(std::move(done));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -72,6 +72,7 @@
   Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance,
           std::optional<KeptState> kept);
 
+  HostList Listed() const;
   Estate Leave() const;
   void SetPlaces(bool half);
   void LeaveTo(std::function<void()> done);
--- a/src/lab/plot.cpp
+++ b/src/lab/plot.cpp
@@ -123,11 +123,7 @@
   std::error_code ec;
   std::filesystem::create_directories(at, ec);
   if (ec) throw std::runtime_error("can't make the folder '" + folder + "': " + ec.message());
-  std::vector<std::string> variants;
-  for (const Play& play : results.plays) {
-    if (std::find(variants.begin(), variants.end(), play.variant) == variants.end())
-      variants.push_back(play.variant);
-  }
+  const std::vector<std::string> variants = Variants(results);
   for (const std::string& variant : variants) Write(at / (variant + ".dat"), Data(results, variant));
   Write(at / "plot.gnuplot", Script(results, variants));
   std::string shell =
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -95,14 +95,6 @@
   return e.half_width > 0 ? Figure(e.mean) + " ±" + Figure(e.half_width) : Figure(e.mean);
 }
 
-std::vector<std::string> Variants(const Results& results) {
-  std::vector<std::string> names;
-  for (const Play& play : results.plays) {
-    if (std::find(names.begin(), names.end(), play.variant) == names.end()) names.push_back(play.variant);
-  }
-  return names;
-}
-
 // All figures of any play: the known order first, then those of a class or a fault.
 std::vector<std::string> AllFigures(const Results& results) {
   std::set<std::string> present;
@@ -173,6 +165,14 @@
 
 }  // namespace
 
+std::vector<std::string> Variants(const Results& results) {
+  std::vector<std::string> names;
+  for (const Play& play : results.plays) {
+    if (std::find(names.begin(), names.end(), play.variant) == names.end()) names.push_back(play.variant);
+  }
+  return names;
+}
+
 std::vector<std::string> FigureNames() {
   std::vector<std::string> names = kRules;
   names.insert(names.end(), kFigures.begin(), kFigures.end());
--- a/src/lab/results.hpp
+++ b/src/lab/results.hpp
@@ -40,6 +40,9 @@
   std::string text;  // the bound with its figure
 };
 
+// The names of the variants played, in their order.
+std::vector<std::string> Variants(const Results& results);
+
 // The rules of every play of the program under test, and the file's bounds, each over the mean of all seeds.
 std::vector<Verdict> Judge(const Experiment& experiment, const Results& results);
 
