What a gateway learned outlives it on disk and comes back aged, not believed

Need: after a loss of power every gateway had to learn bad hosts anew, a request at a time. What a policy learned was handed over only in an orderly replacement, and was taken as it stood.

Change: the state on disk holds what was learned, every 2 s. Policy::Adopt weighs each part by its age (verdicts 15 s, latencies 60 s, rates 20 s half- life), shares the rate anew where the number of gateways changed, and takes nothing from a clock that is ahead. A newer program's state is neither read nor replaced. A fuzzer runs on the store's readers.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -176,20 +176,28 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Watch, Log>;
 
-// What a Policy has learned, for the one of the process that replaces its own. Times of this clock.
+// What a Policy has learned, for one that begins where it ended. Times of this clock.
 struct Learned {
   struct Class {
     std::string name;
     double latency = 0;
     int samples = 0;
-    Millis most_left = 0;
+    Millis most_left = 0;  // what a first try still has
   };
-  struct Server {
-    std::string id;
-    double latency = 0, steady = 0, base = 0, failing = 0, limit = 1;
+  struct Figures {       // of a server
+    double latency = 0;  // smoothed, relative to the class; 0 = unmeasured
+    double steady = 0;   // the same, smoothed over more samples
+    double base = 0;     // the lowest of that: what it is when uncrowded
+    double failing = 0;  // smoothed share of failures
+    double limit = 1;    // own requests it takes uncrowded; below 1 it rests between them
     int samples = 0;
-    bool suspect = false, lost = false;
-    Millis cold_since = 0;
+    bool suspect = false;
+    bool lost = false;  // a connection failed: it may come back as a new, cold process
+    Millis cold_since = -1e15;
+    Millis heard_at = -1e15;  // last, that it answered or failed; of a suspect: also that it was tried
+  };
+  struct Server : Figures {
+    std::string id;
   };
   struct Kind {
     std::string name;
@@ -197,6 +205,8 @@
   };
   double rate = 0, spent = 0, failing = 0, mean_latency = 0;
   int samples = 0;
+  Millis at = 0;     // when this was so
+  int gateways = 0;  // in front of the same servers then; 0 = as many as now
   std::vector<Class> classes;
   std::vector<Server> servers;
   std::vector<Kind> kinds;
@@ -217,9 +227,9 @@
   // Listed servers that are up and get no more than trials now, for what they failed.
   std::size_t avoided() const;
 
-  // For a replacement. While two processes are one gateway each acts on a part of what was learned:
-  // Scale(0.5) leaves half of the rate and of what servers are given, Scale(2) takes it back. Adopt comes
-  // after the first list of servers and before the first request; what it does not name stays as new.
+  // For the next process. Adopt comes after the first list of servers and before the first request; what it
+  // does not name stays as new, and what is old counts less. While two processes are one gateway each acts on
+  // a part of it: Scale(0.5) leaves half of the rate and of what servers are given, Scale(2) takes it back.
   Learned Remember() const;
   void Adopt(Millis now, const Learned& learned);
   void Scale(double part);
--- a/src/counts.cpp
+++ b/src/counts.cpp
@@ -32,13 +32,11 @@
 }
 
 Learned Remembered(const State& s, double spent) {
-  Learned all{s.rate_, spent, s.failing_, s.mean_latency_, s.samples_, {}, {}, {}};
-  for (const Tier& c : s.classes_) all.classes.push_back({c.set.name, c.latency, c.samples, c.most_left});
+  Learned all{s.rate_, spent, s.failing_, s.mean_latency_, s.samples_, s.now_, s.set_.gateways, {}, {}, {}};
+  for (const Tier& c : s.classes_) all.classes.push_back(c);
   for (const auto& [name, k] : s.kinds_) all.kinds.push_back({name, k.warm_served, k.warm_time});
   for (const auto& [id, b] : s.servers_) {
-    if (!b.up) continue;
-    all.servers.push_back({id, b.latency, b.steady, b.base, b.failing, b.limit, b.samples, b.suspect, b.lost,
-                           std::max(kNever, b.cold_since)});
+    if (b.up) all.servers.push_back({b, id});
   }
   return all;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,6 +31,7 @@
 constexpr Millis kCountEvery = 5000;       // from one log line on the sockets to the next
 constexpr std::size_t kMostCallers = 16;   // operators' connections
 constexpr Millis kKeepWithin = 1000;       // after news of the list it is on its way to the disk
+constexpr Millis kKeepEvery = 2000;        // from one state kept to the next
 constexpr int kKeepSteps = 16;             // that gateways spread over
 constexpr std::size_t kSpareSockets = 40;  // listeners, operators, discovery, the loop's own, and room
 
@@ -115,6 +116,7 @@
                  /*sure=*/inheritance.estate || !kept || kept->list.revision <= config.known.revision,
                  {[this](const HostList& list) {
                     list_kept_ = false;
+                    told_at_ = Now();
                     Told(list);
                   },
                   [this] { ListFailed(); }}),
@@ -154,6 +156,7 @@
   // A process that still runs knows better than the disk.
   list_kept_ = !estate && kept && kept->list.revision > config.known.revision;
   if (!estate && kept && kept->draining) SetDraining(true);
+  told_at_ = list_kept_ ? kept->kept_at : Now();
   Told(estate ? estate->list : list_kept_ ? kept->list : config.known);
   if (list_kept_) {
     base::Log(base::Level::kInfo, "state", "list_restored",
@@ -163,7 +166,15 @@
               {{"revision", revision_}, {"hosts", list_.size()}, {"age_ms", Now() - kept->kept_at}});
   }
   if (!config.state_folder.empty()) keeper_.emplace(config.state_folder, config.state_owner);
-  if (estate) policy_.Adopt(Now(), estate->learned);
+  if (estate) {
+    policy_.Adopt(Now(), estate->learned);
+  } else if (kept && kept->learned) {
+    policy_.Adopt(Now(), *kept->learned);
+    base::Log(base::Level::kInfo, "state", "learned_restored",
+              Words("state kept: what was learned of %zu hosts, %.1f s ago, counts by its age",
+                    kept->learned->servers.size(), (Now() - kept->learned->at) / 1000),
+              {{"hosts", kept->learned->servers.size()}, {"age_ms", Now() - kept->learned->at}});
+  }
   replacement_.Begin();
   if (!settings_.ask_for_list) discovery_.Watch();
   for (const ClassSettings& c : settings_.classes) {
@@ -239,17 +250,21 @@
   Report(ToNews(list));
   replacement_.ReadyNow();
   // Not all of a fleet at once.
-  if (keeper_ && !list_kept_ && !list_.empty()) {
+  if (keeper_ && !list_.empty()) {
     KeepLater(kKeepWithin * (settings_.index % kKeepSteps) / kKeepSteps);
   }
 }
 
-// One that is due already takes in what has changed since.
+// One that is due sooner already takes in what has changed since.
 void Gateway::KeepLater(Millis delay) {
   if (!keeper_) return;
-  keep_.expires_after(Span(delay));
+  const auto due = std::chrono::steady_clock::now() + Span(delay);
+  if (keep_.expiry() > std::chrono::steady_clock::now() && keep_.expiry() <= due) return;
+  keep_.expires_at(due);
   keep_.async_wait([this](error_code ec) {
-    if (!ec) keeper_->Keep({Listed(), draining_, Now()});
+    if (ec || !keeper_->ok()) return;
+    keeper_->Keep({Listed(), draining_, told_at_, policy_.Remember()});
+    KeepLater(kKeepEvery);  // what is learned goes on changing
   });
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -133,6 +133,7 @@
   Replacement replacement_;
   std::optional<StateKeeper> keeper_;
   boost::asio::steady_timer keep_;
+  Millis told_at_ = 0;      // when the list was last known to hold
   bool list_kept_ = false;  // the list in force is from the disk, and discovery has not answered yet
   ClientServer clients_;
   std::optional<ManagementServer> management_;
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -17,6 +17,7 @@
 
 #include "base/log.hpp"
 #include "clock.hpp"
+#include "learned_form.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -118,24 +119,9 @@
 }
 
 std::string ToText(const Estate& estate) {
-  const Learned& l = estate.learned;
-  json classes = json::array(), servers = json::array(), kinds = json::array();
-  for (const auto& c : l.classes) classes.push_back({c.name, c.latency, c.samples, c.most_left});
-  for (const auto& s : l.servers) {
-    servers.push_back(
-        {s.id, s.latency, s.steady, s.base, s.failing, s.limit, s.samples, s.suspect, s.lost, s.cold_since});
-  }
-  for (const auto& k : l.kinds) kinds.push_back({k.name, k.warm_served, k.warm_time});
-  return json{{"list", json::parse(ToText(estate.list))},
-              {"rate", l.rate},
-              {"spent", l.spent},
-              {"failing", l.failing},
-              {"mean_latency", l.mean_latency},
-              {"kinds", std::move(kinds)},
-              {"samples", l.samples},
-              {"classes", std::move(classes)},
-              {"servers", std::move(servers)}}
-      .dump();
+  json all = ToJson(estate.learned);
+  all["list"] = json::parse(ToText(estate.list));
+  return all.dump();
 }
 
 std::optional<Estate> ParseEstate(const std::string& text) {
@@ -143,23 +129,12 @@
     const json all = json::parse(text);
     const auto list = ParseHostList(all.at("list").dump());
     if (!list) return std::nullopt;
-    Estate estate;
-    estate.list = *list;
-    Learned& l = estate.learned;
-    all.at("rate").get_to(l.rate);
-    all.at("spent").get_to(l.spent);
-    all.at("failing").get_to(l.failing);
-    all.at("mean_latency").get_to(l.mean_latency);
-    all.at("samples").get_to(l.samples);
-    for (const json& c : all.at("classes")) l.classes.push_back({c.at(0), c.at(1), c.at(2), c.at(3)});
-    for (const json& s : all.at("servers")) {
-      l.servers.push_back(
-          {s.at(0), s.at(1), s.at(2), s.at(3), s.at(4), s.at(5), s.at(6), s.at(7), s.at(8), s.at(9)});
-    }
-    // An older version tells nothing of kinds; what it says else holds.
-    for (const json& k : all.value("kinds", json::array())) l.kinds.push_back({k.at(0), k.at(1), k.at(2)});
+    Estate estate{*list, LearnedFromJson(all)};
+    // What a process that runs believes holds as it stands: nothing was missed.
+    estate.learned.at = Now();
+    for (Learned::Server& server : estate.learned.servers) server.heard_at = estate.learned.at;
     return estate;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/gateway/state_keeper.cpp
+++ b/src/gateway/state_keeper.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.hpp"
 #include "clock.hpp"
+#include "learned_form.hpp"
 #include "store/store.hpp"
 
 namespace opalswitch::gateway {
@@ -28,9 +29,10 @@
 }  // namespace
 
 std::string ToText(const KeptState& state) {
-  return json{
-      {"list", json::parse(ToText(state.list))}, {"draining", state.draining}, {"kept_at_ms", state.kept_at}}
-      .dump();
+  json form = {
+      {"list", json::parse(ToText(state.list))}, {"draining", state.draining}, {"kept_at_ms", state.kept_at}};
+  if (state.learned) form["learned"] = ToJson(*state.learned);
+  return form.dump();
 }
 
 std::optional<KeptState> ParseKeptState(const std::string& text) {
@@ -39,7 +41,16 @@
   const json draining = parsed.value("draining", json()), kept_at = parsed.value("kept_at_ms", json());
   auto list = ParseHostList(parsed["list"].dump());
   if (!list || !list->complete || !draining.is_boolean() || !kept_at.is_number()) return std::nullopt;
-  return KeptState{std::move(*list), draining.get<bool>(), kept_at.get<double>()};
+  KeptState state{std::move(*list), draining.get<bool>(), kept_at.get<double>(), std::nullopt};
+  if (parsed.contains("learned")) {  // an older program kept none
+    try {
+      state.learned = LearnedFromJson(parsed["learned"]);
+    } catch (const std::exception& error) {
+      Say(base::Level::kWarning, "not_read",
+          std::string("what was learned is not believed: ") + error.what());
+    }
+  }
+  return state;
 }
 
 std::optional<KeptState> LoadState(const std::string& folder, const std::string& owner) {
@@ -109,6 +120,11 @@
           shared.ok = false;
           return;
         }
+        if (status.ok() && found.snapshot && found.snapshot->version > kVersion) {
+          Say(base::Level::kError, "not_written", folder + ": kept by a newer program; it is left as it is");
+          shared.ok = false;
+          return;
+        }
         if (!status.ok() && std::exchange(said, status.Text()) != status.Text()) {
           Say(base::Level::kWarning, "waits", status.Text() + "; tried again every second");
         }
--- a/src/gateway/state_keeper.hpp
+++ b/src/gateway/state_keeper.hpp
@@ -1,5 +1,5 @@
-// What a gateway keeps on disk for the process after it, where a folder is configured: the list of hosts and
-// the drain.
+// What a gateway keeps on disk for the process after it, where a folder is configured: the list of hosts, the
+// drain and what was learned.
 #ifndef OPALSWITCH_GATEWAY_STATE_KEEPER_HPP_
 #define OPALSWITCH_GATEWAY_STATE_KEEPER_HPP_
 
@@ -16,10 +16,11 @@
 struct KeptState {
   HostList list;
   bool draining = false;
-  Millis kept_at = 0;  // Unix time
+  Millis kept_at = 0;  // Unix time at which the list was last known to hold
+  std::optional<Learned> learned;
 };
 std::string ToText(const KeptState& state);
-// Nothing if the text is broken in any part.
+// Nothing if the text is broken in any part; without what was learned if only that is.
 std::optional<KeptState> ParseKeptState(const std::string& text);
 
 // What stands in the folder, of that owner. Reads only, and blocks for the disk: for the start, before
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -73,7 +73,11 @@
 constexpr double kLeastSpent = 0.05;   // part of that memory below which a rate can't be told yet
 constexpr Millis kLongMemory = 10000;  // ms, the same where a few requests a second must give a rate
 constexpr double kFailMemory =
-    0.05;  // least weight of an outcome in the fleet's failing share; else about a second's
+    0.05;  // least weight of an outcome in all servers' failing share; else a second's
+constexpr Millis kVerdictHalfLife =
+    15000;  // ms after which what was known of a server's failures counts half
+constexpr Millis kLatencyHalfLife = 60000;  // ms, the same of its latency and limit
+constexpr Millis kSumsHalfLife = 20000;     // ms, the same of rates and of what servers bear
 
 }  // namespace
 
@@ -90,6 +94,7 @@
     for (const ClassSettings& c : set_.classes) {
       class_index_[c.name] = static_cast<int>(classes_.size());
       classes_.emplace_back().set = c;
+      classes_.back().name = c.name;
       classes_.back().weight = worth > 0 ? c.worth / worth : 1.0 / static_cast<double>(set_.classes.size());
     }
     for (const TenantSettings& t : set_.tenants) {
@@ -107,35 +112,33 @@
   }
 
   std::size_t Avoided() const {
-    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& entry) {
-      return entry.second.up && entry.second.suspect;
-    }));
+    const auto avoided = [](const auto& entry) { return entry.second.up && entry.second.suspect; };
+    return static_cast<std::size_t>(std::ranges::count_if(servers_, avoided));
   }
 
   Learned Remember() const { return Remembered(*this, Spent()); }
 
   void Adopt(Millis now, const Learned& all) {
     Refill(now);
-    if (all.rate > 0) rate_ = all.rate;
+    const double kept = Kept(all.at, kSumsHalfLife);
+    const double part = all.gateways > 0 ? 1.0 * all.gateways / set_.gateways : 1;  // of what came here then
+    // An old rate goes back to that of the start: what it was cut for is over.
+    if (all.rate > 0) rate_ = std::min(kStartRate * std::max(1, up_), all.rate * part / kept);
     tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
-    spent_rate_ = all.spent;
-    spent_part_ = 1;
-    failing_ = all.failing;
+    spent_rate_ = all.spent * part * kept;
+    spent_part_ = kept;
+    failing_ = all.failing * kept;
     mean_latency_ = all.mean_latency;
     samples_ = all.samples;
-    for (const Learned::Kind& known : all.kinds) {
-      kinds_[known.name].warm_served = known.warm_served;
-      kinds_[known.name].warm_time = known.warm_time;
+    for (const Learned::Kind& k : all.kinds) {
+      kinds_[k.name].warm_served = k.warm_served * kept * part;
+      kinds_[k.name].warm_time = k.warm_time * kept;
     }
     swept_at_ = now_;
     LearnReference(0);
     for (const Learned::Class& known : all.classes) {
       const auto found = class_index_.find(known.name);
-      if (found == class_index_.end()) continue;
-      Tier& c = classes_[found->second];
-      c.latency = known.latency;
-      c.samples = known.samples;
-      c.most_left = known.most_left;
+      if (found != class_index_.end()) static_cast<Learned::Class&>(classes_[found->second]) = known;
     }
     std::map<const Kind*, int> kinds;
     for (const Learned::Server& known : all.servers) {
@@ -143,29 +146,40 @@
       if (found == servers_.end() || !found->second.up) continue;
       Backend& b = found->second;
       b.cold_credit = 0;  // a chance part of a request was given when the server came
-      if (known.samples <= 0) continue;
+      if (known.samples <= 0 || all.at > now_) continue;
       if (b.info.started_at > 0 && b.info.started_at > known.cold_since) continue;  // it has restarted since
-      b.latency = known.latency;
-      b.steady = known.steady;
-      b.base = known.base;
-      b.failing = known.failing;
-      b.limit = known.limit;
-      b.places = std::max(1.0, std::floor(b.limit));
-      b.samples = known.samples;
-      b.lost = known.lost;
-      b.cold_since = known.cold_since;
-      b.suspect = known.suspect;
-      if (b.suspect) b.next_trial = now_ + b.trial_gap * (0.75 + 0.5 * Uniform());
+      Age(b, known);
+      if (b.samples <= 0) continue;
       Kind& k = *b.kind;  // the mean of its servers
-      const double part = 1.0 / ++kinds[b.kind];
-      k.latency += part * (b.latency - k.latency);
-      k.steady += part * (b.steady - k.steady);
-      k.base += part * (b.base - k.base);
+      const double share = 1.0 / ++kinds[b.kind];
+      k.latency += share * (b.latency - k.latency);
+      k.steady += share * (b.steady - k.steady);
+      k.base += share * (b.base - k.base);
       k.samples += b.samples;
     }
     ChooseSubset();
   }
 
+  // What is left of knowledge from then. From the future: the clock was set back, its age is unknown.
+  double Kept(Millis then, Millis half_life) const {
+    return then > now_ ? 0 : std::exp2((then - now_) / half_life);
+  }
+
+  // A verdict is tried again the sooner the older it is, and lapses; a latency gives way to fewer samples.
+  void Age(Backend& b, const Learned::Figures& known) {
+    const double kept = Kept(known.heard_at, kLatencyHalfLife);
+    const double judged = Kept(known.heard_at, kVerdictHalfLife);
+    const double limit = b.limit + kept * (known.limit - b.limit);
+    static_cast<Learned::Figures&>(b) = known;
+    b.limit = limit;
+    b.places = std::max(1.0, std::floor(b.limit));
+    b.samples = static_cast<int>(kept * known.samples + 0.5);
+    if (b.samples == 0) b.latency = b.steady = b.base = b.samples = 0;
+    b.failing = judged * known.failing;
+    b.suspect = known.suspect && b.failing >= kErrBack;
+    if (b.suspect) b.next_trial = now_ + judged * b.trial_gap * (0.75 + 0.5 * Uniform());
+  }
+
   void Scale(double part) {
     rate_ = std::clamp(rate_ * part, 1.0 * up_ / set_.gateways, kStartRate * std::max(1, up_));
     tokens_ = std::min(tokens_, std::max(2.0, rate_ * kBurst / 1000));
@@ -211,8 +225,8 @@
 
   // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
   // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
-  // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
-  // is ejected.
+  // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for an ejected
+  // one.
   void ChooseSubset() {
     OrderRing();
     const double all = static_cast<double>(ring_.size());
@@ -304,16 +318,15 @@
   double Slack() const { return set_.warm_keys ? kWarmSlack : kSlack; }
   bool Ready(Backend& b, bool in_share) {
     // Where many share a server, a limit each is a fraction of a request learned from next to nothing. There
-    // the rate alone admits, and what is beyond a share goes only while all goes well: it took tokens like
-    // any.
+    // the rate alone admits, and what is beyond a share goes only while all goes well: it took tokens too.
     if (sharers_ > kManySharers) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
     if (now_ < b.rests_until) return false;
     const double part = in_share || b.kind->busy < kSpareBusy ? 1 : kSpareShare;
     return b.in_flight < b.places * part && WithinBudget(b);
   }
 
-  // A zone is lost, or cut off, before each of its servers could show it: several said nothing, and none
-  // answered since. One answer ends that.
+  // A zone is lost before each of its servers could show it: several were mute, no answer since. One ends
+  // that.
   bool Silent(const Backend& b) const { return zones_.size() > 1 && b.zone->silent.size() >= kSilentServers; }
 
   void Suspect(Backend& b) {
@@ -325,8 +338,7 @@
     b.trial_gap = std::min(b.trial_gap * 2, kTrialGapMost);
   }
 
-  // How far a server's report says that it is too busy for many gateways, none knowing what the others send
-  // next.
+  // How far it reports to be too busy for many gateways, none knowing what the others send next.
   double Overuse(const Backend& b) const {
     return (b.busy + b.kind->busy) / 2 - (1 - kBusySpare * std::sqrt(set_.gateways));
   }
@@ -347,8 +359,8 @@
       return;
     }
     if (served) b.turned_away = 0;
-    // A server may fail one class alone: what only that class needs is broken. The others hide it in its
-    // share.
+    b.heard_at = now_;
+    // A server may fail one class alone: what only that needs is broken. The others hide it in its share.
     Backend::Errors& errors = b.errors[flow.cls];
     if (served) errors = {};
     if (outcome.result == Result::kError) {
@@ -750,8 +762,7 @@
     Settle(flow);
   }
 
-  // The client owns it now, and the server has done its work: what was to be learned is there. Its outcome,
-  // that of a transfer, is still awaited.
+  // The client owns it now, and the server has done its work: all is learned. Its outcome is still awaited.
   void On(const StreamStarted& s) {
     Flow* const flow = Find(s.request);
     if (flow == nullptr) return;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -40,21 +40,16 @@
   std::set<const Backend*> silent;  // those that timed out or could not be reached since
 };
 
-struct Backend {
+struct Backend : Learned::Figures {
   Server info;
   Kind* kind = nullptr;
   Zone* zone = nullptr;
   std::uint64_t hash = 0;
   bool up = false;
-  bool mine = false;   // in this gateway's subset
-  int refs = 0;        // attempts of living requests that name it
-  int in_flight = 0;   // own attempts out
-  double latency = 0;  // smoothed, relative to the class; 0 = unmeasured
-  double steady = 0;   // the same, smoothed over more samples
-  double base = 0;     // the lowest of that: what it is when uncrowded
-  int samples = 0;
+  bool mine = false;  // in this gateway's subset
+  int refs = 0;       // attempts of living requests that name it
+  int in_flight = 0;  // own attempts out
   double busy = 0;    // reported utilisation, smoothed
-  double limit = 1;   // own requests it takes uncrowded; below 1 it rests between them
   double places = 1;  // the limit rounded by chance to whole requests
   Millis rests_until = kNever;
   int turned_away = 0;  // requests in a row
@@ -63,13 +58,9 @@
     Millis avoid_until = kNever;
   };
   std::vector<Errors> errors;  // by class
-  double failing = 0;          // smoothed share of failures
-  bool suspect = false;
-  bool lost = false;  // a connection failed: it may come back as a new, cold process
   Millis next_trial = 0;
   Millis trial_gap = 0;
   Millis last_served = kNever;
-  Millis cold_since = kNever;
   double cold_credit = 0;  // requests that it may be sent while cold
   Millis credit_at = 0;
 };
@@ -94,26 +85,19 @@
   bool held = true;  // could be sent again
   std::vector<Attempt> attempts;
 
-  bool AnyOut() const {
-    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
-  }
+  bool AnyOut() const { return std::ranges::any_of(attempts, &Attempt::out); }
   // The first attempt that may have run decides where a keyed request may still go.
   const Attempt* FirstRun() const {
-    for (const Attempt& a : attempts) {
-      if (a.may_have_run) return &a;
-    }
-    return nullptr;
+    const auto found = std::ranges::find_if(attempts, &Attempt::may_have_run);
+    return found == attempts.end() ? nullptr : &*found;
   }
   bool NeverRan() const { return FirstRun() == nullptr; }
 };
 
-struct Tier {  // one class: its settings, learned latency, credit and queues
+struct Tier : Learned::Class {  // one class: its settings, what was learned of it, credit and queues
   ClassSettings set;
   double weight = 0;
   double credit = 0;
-  Millis most_left = 0;  // what a first try still has
-  double latency = 0;
-  int samples = 0;
   std::deque<Flow*> retries, in_share, over_share;
 
   std::size_t Size() const { return retries.size() + in_share.size() + over_share.size(); }
@@ -176,12 +160,7 @@
   void Unqueue(Flow& flow) {
     if (!flow.queued) return;
     Tier& c = classes_[flow.cls];
-    for (auto* line : {&c.retries, &c.in_share, &c.over_share}) {
-      if (const auto it = std::find(line->begin(), line->end(), &flow); it != line->end()) {
-        line->erase(it);
-        break;
-      }
-    }
+    for (auto* line : {&c.retries, &c.in_share, &c.over_share}) std::erase(*line, &flow);
     flow.queued = false;
     --queued_;
   }
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.hpp"
 #include "gateway/state_keeper.hpp"
+#include "store/store.hpp"
 #include "world.hpp"
 
 namespace opalswitch::testing {
@@ -236,8 +237,70 @@
   }
 }
 
+// Guards formats: what program 0.1.0 kept before anything learned was kept is read, and goes on from there.
+TEST(State, OfAnOlderProgramIsRead) {
+  const StateFolder folder;
+  std::filesystem::copy(FIXTURES "/state-0.1.0", folder.path);
+  const auto kept = gateway::LoadState(folder.path, "n1 at 127.0.0.1:18080");
+  ASSERT_TRUE(kept);
+  EXPECT_TRUE(kept->draining);
+  EXPECT_EQ(kept->list.hosts.size(), 2u);
+  EXPECT_FALSE(kept->learned);
+}
+
+// Guards a newer program's state: not read, and still there when this one has served and ended.
+TEST(State, OfANewerProgramIsLeftAsItIs) {
+  const StateFolder folder;
+  const std::string newer = R"({"draining":"maybe"})";
+  World world(1, TestSettings(), 300, WithState(folder));
+  EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+  ASSERT_TRUE(world.Until([&] { return gateway::LoadState(folder.path, world.owner()).has_value(); }));
+  world.gateway.reset();
+  const auto files = elderhead::store::MakePosixFileSystem();
+  elderhead::store::Examination found;
+  {
+    std::unique_ptr<elderhead::store::Store> store;
+    ASSERT_TRUE(elderhead::store::Store::Open(*files, folder.path, {world.owner(), "9"}, store, found).ok());
+    ASSERT_TRUE(store->TakeSnapshot(7, newer).ok());
+  }
+  world.Restart();
+  EXPECT_TRUE(world.Call("check\n").starts_with("SUCCESS"));
+  EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+  ASSERT_TRUE(world.Until(
+      [&] { return world.Call("metrics\n").find("elderhead_state_ok 0\n") != std::string::npos; }));
+  world.gateway.reset();
+  ASSERT_TRUE(elderhead::store::Examine(*files, folder.path, world.owner(), found).ok());
+  ASSERT_TRUE(found.snapshot);
+  EXPECT_EQ(found.snapshot->payload, newer);
+}
+
+// Guards what was learned: it is kept while requests are served, and the next process begins with it.
+TEST(State, HoldsWhatWasLearned) {
+  const StateFolder folder;
+  World world(1, TestSettings(), 300, WithState(folder));
+  world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  const auto client = world.Connect();
+  for (std::size_t i = 1; i <= 5; ++i) {
+    client->Send(ApiCall("r" + std::to_string(i)));
+    EXPECT_EQ(client->Await(i).result_int(), 200u);
+  }
+  EXPECT_TRUE(world.Call("drain-on\n").starts_with("SUCCESS"));
+  const auto samples = [&] {
+    const auto kept = gateway::LoadState(folder.path, world.owner());
+    return kept && kept->learned && !kept->learned->servers.empty() ? kept->learned->servers[0].samples : 0;
+  };
+  ASSERT_TRUE(world.Until([&] { return samples() == 5; }));
+  world.Restart();  // discovery says nothing; what it writes next is what it began with
+  EXPECT_TRUE(world.Call("drain-off\n").starts_with("SUCCESS"));
+  ASSERT_TRUE(world.Until([&] {
+    const auto kept = gateway::LoadState(folder.path, world.owner());
+    return kept && !kept->draining;
+  }));
+  EXPECT_EQ(samples(), 5);
+}
+
 TEST(State, IsReadWholeOrNotAtAll) {
-  const std::string good = ToText(gateway::KeptState{{42, true, {}}, true, 5});
+  const std::string good = ToText(gateway::KeptState{{42, true, {}}, true, 5, {}});
   ASSERT_TRUE(gateway::ParseKeptState(good));
   EXPECT_TRUE(gateway::ParseKeptState(good)->draining);
   for (const char* bad :
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1283,6 +1283,93 @@
   EXPECT_EQ(sent, 0);
 }
 
+// What a gateway learned of five servers, of which s1 fails and s2 takes four times as long.
+Learned LearnedOfFive(Gateway& old) {
+  old.Servers(5);
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "f" + std::to_string(i), server = Gateway::SentTo(old.Ask(id));
+    old.Pass(10);
+    if (server.empty()) continue;
+    old.End(id, server, server == "s1" ? Result::kConnectFailed : Result::kServed, server == "s2" ? 200 : 50);
+  }
+  return old.policy.Remember();
+}
+
+// Guards what comes back from a disk: believed at once after a moment, less the older it is, and not at all
+// from a clock that was set back.
+TEST(Ageing, LetsVerdictsLatenciesAndRatesLapse) {
+  Gateway old;
+  const Learned learned = LearnedOfFive(old);
+  ASSERT_TRUE(learned.servers[1].suspect);
+  struct Row {
+    Millis down;
+    bool avoided, measured;
+    double least_rate;  // times the one known
+  };
+  for (const Row& row : {Row{1000, true, true, 1}, Row{30000, true, true, 2.5}, Row{120000, false, true, 5},
+                         Row{600000, false, false, 5}, Row{-1000, false, false, 5}}) {
+    Learned then = learned;
+    then.rate = 10;  // after a cut
+    Gateway next;
+    next.now = old.now + row.down;
+    next.Servers(5);
+    next.policy.Adopt(next.now, then);
+    const Learned now = next.policy.Remember();
+    EXPECT_EQ(next.policy.avoided(), row.avoided ? 1u : 0u) << row.down;
+    EXPECT_EQ(now.servers[0].latency > 0, row.measured) << row.down;
+    EXPECT_GE(now.rate, 10 * row.least_rate) << row.down;
+    for (std::size_t i = 0; i < 5; ++i) EXPECT_LE(now.servers[i].samples, then.servers[i].samples);
+  }
+}
+
+// Guards the fleet's rate where the number of gateways changed: each takes its part of what came.
+TEST(Ageing, SharesTheRateAmongAsManyGatewaysAsThereAreNow) {
+  Gateway old;
+  Learned learned = LearnedOfFive(old);
+  learned.rate = 60, learned.gateways = 2;
+  Settings settings = MakeSettings();
+  settings.gateways = 6;
+  Gateway next(settings);
+  next.now = old.now;
+  next.Servers(5);
+  next.policy.Adopt(next.now, learned);
+  EXPECT_DOUBLE_EQ(next.policy.Remember().rate, 20);
+}
+
+// What ageing is worth: the gateway was down, and meanwhile s1 and s2 became well. How many of the next 300
+// requests these two get, of 120 that are their part: with ages as they are, and as if all were news.
+TEST(Ageing, FindsServersThatBecameWell) {
+  Gateway old;
+  const Learned learned = LearnedOfFive(old);
+  for (const Millis down : {1000.0, 30000.0, 600000.0}) {
+    int taken[2] = {};
+    for (const bool aged : {false, true}) {
+      Learned then = learned;
+      for (auto& s : then.servers) s.heard_at += aged ? 0 : down;
+      then.at += aged ? 0 : down;
+      for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Gateway next(MakeSettings(), seed);
+        next.now = old.now + down;
+        next.Servers(5);
+        next.policy.Adopt(next.now, then);
+        for (int i = 0; i < 300; ++i) {
+          const std::string id = std::to_string(i), server = Gateway::SentTo(next.Ask(id));
+          next.Pass(10);
+          taken[aged] += server == "s1" || server == "s2";
+          if (!server.empty()) next.End(id, server, Result::kServed, 50);
+        }
+      }
+    }
+    const std::string name = "down_" + std::to_string(static_cast<int>(down / 1000)) + "s";
+    RecordProperty(name,
+                   std::to_string(taken[0] / 20) + " as news, " + std::to_string(taken[1] / 20) + " aged");
+    std::printf("%s: s1 and s2 got %d of 300 with ages ignored, %d with ages\n", name.c_str(), taken[0] / 20,
+                taken[1] / 20);
+    EXPECT_GE(taken[1], taken[0]) << name;
+    EXPECT_GT(taken[1], down < 600000 ? 0 : 20 * 100) << name;
+  }
+}
+
 // Guards a long request that broke on its way: once it can't be sent again there is no other attempt.
 TEST(Bodies, AreNotSentAgainOnceTheyPassedThrough) {
   for (const bool held : {true, false}) {
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -29,6 +29,13 @@
 cmake --build build-sanitize -j"$(nproc)"
 ctest --test-dir build-sanitize --output-on-failure -j"$(nproc)"
 
+step "fuzzer on the readers of a store's files, 30 s"
+clang++ -std=c++20 -O1 -g -fsanitize=fuzzer,address,undefined -Isrc tests/store_fuzz.cpp src/store/record.cpp -o build-tests/store_fuzz
+corpus=$(mktemp -d)
+cp tests/fixtures/state-0.1.0/* "$corpus"
+build-tests/store_fuzz -max_total_time=30 -verbosity=0 -print_final_stats=1 "$corpus" 2>&1 | grep -v '^#'
+rm -rf "$corpus"
+
 step "consumer example against an installed copy"
 prefix=$(mktemp -d)
 trap 'rm -rf "$prefix"' EXIT
