The project's own list service, one durable instance, and gateways with several

Need: gateways learn of hosts from the platform's list alone. Nothing of the project could register, drain or remove a host, and a gateway whose only list service fails or forgets had no other.

Gateways take discovery_endpoints: one watch at a time that moves, comes back and never goes back in time; a list that loses most hosts unconfirmed is refused, drains in it bind. The platform's form and calls are unchanged.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "cli/call.hpp"
+#include "cli/registry.hpp"
 #include "cli/run.hpp"
 #include "cli/state.hpp"
 #include "gateway/config.hpp"
@@ -241,6 +242,8 @@
   look("export", "Prints the believed snapshot and records as JSON, a line each",
        "elderhead state export DIR | head -1", cli::ExportState);
 
+  cli::AddRegistry(app, chosen);
+
   CLI::App* const version = app.add_subcommand("version", "Prints the version");
   version->callback([&] {
     chosen = [] {
--- /dev/null
+++ b/src/cli/registry.cpp
@@ -0,0 +1,362 @@
+#include "cli/registry.hpp"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "base/http_client.hpp"
+#include "gateway/discovery.hpp"
+#include "registry/agent.hpp"
+#include "registry/service.hpp"
+
+namespace elderhead::cli {
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+using tcp = boost::asio::ip::tcp;
+
+constexpr int kDone = 0, kRefused = 1, kWrongUse = 2, kNoAnswer = 3;
+constexpr const char* kCodes =
+    "Exit codes: 0 done, 1 refused by the service, 2 wrong use, 3 no service answered.";
+
+std::int64_t UnixMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string RandomWord() {
+  std::random_device random;
+  return fmt::format("{:08x}{:08x}", random(), random());
+}
+
+struct Options {
+  std::vector<std::string> services{"127.0.0.1:8500"};
+  bool json = false;
+  std::string file, id, key, name;
+  std::vector<std::string> files;
+  std::string address, zone, kind, version;
+  double size = 1, term_s = 0, seconds = 0;
+  std::int64_t incarnation = -1, if_incarnation = -1, if_revision = -1, after = -1;
+};
+
+struct Answer {
+  unsigned status = 0;  // 0: none
+  std::string body;
+};
+
+// Asks one service after the other until one answers.
+Answer Ask(const Options& o, const std::string& method, const std::string& target,
+           const std::string& body = "", double patience = 5000) {
+  for (const std::string& service : o.services) {
+    const auto to = opalswitch::gateway::ParseEndpoint(service);
+    if (!to || to->port() == 0) {
+      throw std::invalid_argument("'" + service + "' is not an address and port, such as 127.0.0.1:8500");
+    }
+    boost::asio::io_context io(1);
+    Answer answer;
+    const auto connection = std::make_shared<base::ClientConnection>(io, *to);
+    connection->Exchange(
+        fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}", method,
+                    target, service, body.size(), body),
+        patience, [&](base::ClientConnection::Result result) {
+          if (result.failure != base::ClientConnection::Failure::kNone) return;
+          answer = {result.response.result_int(), result.response.body()};
+        });
+    io.run();
+    if (answer.status != 0 && answer.status != 503) return answer;
+    if (answer.status == 503 && service == o.services.back()) return answer;
+  }
+  fmt::print(stderr, "elderhead: no service answered at {}\n", fmt::join(o.services, ", "));
+  return {};
+}
+
+int Write(const Options& o, const std::string& name, json body) {
+  body["by"] = "operator";
+  body["id"] = o.id;
+  body["key"] = o.key.empty() ? "cli-" + RandomWord() : o.key;
+  if (o.if_revision >= 0) body["if_revision"] = o.if_revision;
+  if (o.if_incarnation >= 0) body["if_incarnation"] = o.if_incarnation;
+  const Answer answer = Ask(o, "POST", "/registry/" + name, body.dump());
+  if (answer.status == 0) return kNoAnswer;
+  const json parsed = json::parse(answer.body, nullptr, false);
+  if (o.json) {
+    fmt::print("{}\n", answer.body);
+  } else if (answer.status == 200) {
+    fmt::print("{} {}: {}\n", name, o.id,
+               parsed.value("changed", false) ? fmt::format("revision {}", parsed.value("revision", 0LL))
+                                              : std::string("nothing had to change"));
+  }
+  if (answer.status == 200) return kDone;
+  if (!o.json) {
+    const json error = parsed.is_object() ? parsed.value("error", json::object()) : json::object();
+    fmt::print(stderr, "elderhead: {} {}: {} ({})\n", name, o.id, error.value("message", "status not 200"),
+               error.value("code", std::to_string(answer.status)));
+  }
+  return kRefused;
+}
+
+std::string Flags(const json& m) {
+  std::string flags;
+  for (const char* name : {"suspect", "held_out", "expired"}) {
+    if (m.value(name, false)) flags += (flags.empty() ? "" : ",") + std::string(name);
+  }
+  return flags.empty() ? "-" : flags;
+}
+
+void Row(const json& m) {
+  const auto word = [&](const char* name) {
+    const std::string text = m.value(name, "");
+    return text.empty() ? std::string("-") : text;
+  };
+  fmt::print("{:>14} {:20} {:22} {:12} {:12} {:10} {:9} {:>5.2f} {}\n", m.value("changed", 0LL), word("id"),
+             word("host_port"), word("locality"), word("flavor"), word("version"), word("phase"),
+             m.value("size", 1.0), Flags(m));
+}
+
+void Heading() {
+  fmt::print("{:>14} {:20} {:22} {:12} {:12} {:10} {:9} {:>5} {}\n", "REVISION", "ID", "ADDRESS", "ZONE",
+             "KIND", "VERSION", "PHASE", "SIZE", "FLAGS");
+}
+
+int PrintList(const Options& o, const std::string& target) {
+  const Answer answer = Ask(o, "GET", target);
+  if (answer.status == 0) return kNoAnswer;
+  const json list = json::parse(answer.body, nullptr, false);
+  if (answer.status != 200 || !list.is_object() || !list.contains("members")) {
+    fmt::print(stderr, "elderhead: {}\n", answer.body);
+    return kRefused;
+  }
+  if (o.json) {
+    fmt::print("{}\n", answer.body);
+    return kDone;
+  }
+  Heading();
+  for (const json& member : list["members"]) Row(member);
+  return kDone;
+}
+
+// Prints changes as they come, until the time is over (0: for ever).
+int Watch(const Options& o) {
+  Answer answer =
+      Ask(o, "GET", o.after >= 0 ? fmt::format("/discovery/hosts?after={}", o.after) : "/discovery/hosts");
+  const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(o.seconds);
+  bool heading = !o.json;
+  for (;;) {
+    if (answer.status == 0) return kNoAnswer;
+    const json list = json::parse(answer.body, nullptr, false);
+    if (answer.status != 200 || !list.is_object()) {
+      fmt::print(stderr, "elderhead: {}\n", answer.body);
+      return kRefused;
+    }
+    if (std::exchange(heading, false)) Heading();
+    for (const json& member : list["members"]) {
+      if (o.json) {
+        fmt::print("{}\n", member.dump());
+      } else {
+        Row(member);
+      }
+    }
+    std::fflush(stdout);
+    const double left =
+        std::chrono::duration<double, std::milli>(end - std::chrono::steady_clock::now()).count();
+    if (o.seconds > 0 && left <= 0) return kDone;
+    const int wait = o.seconds > 0 ? std::max(1, std::min(20000, static_cast<int>(left))) : 20000;
+    answer = Ask(o, "GET",
+                 fmt::format("/discovery/hosts?after={}&wait_ms={}&epoch={}", list.value("revision", 0LL),
+                             wait, list.value("epoch", "")),
+                 "", wait + 5000);
+  }
+}
+
+int Status(const Options& o) {
+  const Answer answer = Ask(o, "GET", "/registry/status");
+  if (answer.status == 0) return kNoAnswer;
+  const ordered_json status = ordered_json::parse(answer.body, nullptr, false);
+  if (answer.status != 200 || !status.is_object()) {
+    fmt::print(stderr, "elderhead: {}\n", answer.body);
+    return kRefused;
+  }
+  if (o.json) {
+    fmt::print("{}\n", answer.body);
+    return kDone;
+  }
+  for (const auto& [name, value] : status.items()) {
+    fmt::print("{:12} {}\n", name, value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return kDone;
+}
+
+// Lists in the published form, or what `elderhead state export` prints of a gateway's folder: of each member
+// what the newest list says.
+int Restore(Options o) {
+  std::map<std::string, std::pair<registry::Revision, registry::Member>> newest;
+  for (const std::string& file : o.files) {
+    std::ifstream stream(file);
+    if (!stream) throw std::runtime_error("can't read '" + file + "'");
+    std::stringstream text;
+    text << stream.rdbuf();
+    std::string body = text.str(), why;
+    const json line = json::parse(body.substr(0, body.find('\n')), nullptr, false);
+    if (line.is_object() && line.contains("payload") && line["payload"].is_object() &&
+        line["payload"].contains("list")) {
+      body = line["payload"]["list"].dump();
+    }
+    const auto list = registry::ParseList(body, why);
+    if (!list) throw std::runtime_error(file + ": " + why);
+    for (const registry::Member& member : list->members) {
+      auto& entry = newest[member.id];
+      if (entry.second.id.empty() || entry.first < list->revision) entry = {list->revision, member};
+    }
+  }
+  int code = kDone;
+  for (const auto& [id, entry] : newest) {
+    const registry::Member& m = entry.second;
+    o.id = id;
+    json body = {{"address", m.address},
+                 {"zone", m.zone},
+                 {"kind", m.kind},
+                 {"size", m.size},
+                 {"incarnation", m.incarnation},
+                 {"term_ms", o.term_s * 1000},
+                 {"version", m.version}};
+    if (!m.cell.empty()) body["cell"] = json::parse(m.cell, nullptr, false);
+    code = std::max(code, Write(o, "register", body));
+    if (code == kNoAnswer) return code;
+    if (m.draining) code = std::max(code, Write(o, "drain", json::object()));
+  }
+  fmt::print("{} members from {} lists\n", newest.size(), o.files.size());
+  return code;
+}
+
+int Serve(const std::string& file) {
+  registry::ServiceOptions options = registry::ReadServiceOptions(file);
+  options.program = ELDERHEAD_VERSION;
+  options.epoch = RandomWord();
+  options.first = UnixMillis();  // above all that a lost service gave, at under 1,000 changes a second
+  boost::asio::io_context io(1);
+  const auto files = store::MakePosixFileSystem();
+  registry::Service service(io, *files, options);
+  fmt::print(stderr, "registry: serves at {}:{}\n", service.address().address().to_string(),
+             service.address().port());
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
+  io.run();
+  return kDone;
+}
+
+int KeepMember(const std::string& file, std::int64_t incarnation) {
+  registry::AgentOptions options = registry::ReadAgentOptions(file);
+  options.member.incarnation = incarnation >= 0 ? incarnation : UnixMillis();
+  boost::asio::io_context io(1);
+  int code = kDone;
+  registry::Agent agent(io, options, [&](int result) {
+    code = result;
+    io.stop();
+  });
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code ec, int) {
+    if (!ec) agent.Stop();
+  });
+  io.run();
+  return code;
+}
+
+}  // namespace
+
+void AddRegistry(CLI::App& app, std::function<int()>& chosen) {
+  // One set for all calls: only one of them is made.
+  const auto o = std::make_shared<Options>();
+  CLI::App* const registry = app.add_subcommand("registry", "The project's own list service");
+  registry->require_subcommand(1);
+  registry->footer(std::string(kCodes) + "\nExample: elderhead registry members --service 127.0.0.1:8500");
+  const auto add = [&, o](const char* name, const char* about, const char* example,
+                          std::function<int()> does) {
+    CLI::App* const command = registry->add_subcommand(name, about);
+    command->footer(std::string(kCodes) + "\nExample: elderhead registry " + example);
+    command->callback([&chosen, does] { chosen = does; });
+    return command;
+  };
+  const auto reach = [o](CLI::App* command) {
+    command->add_option("--service", o->services, "Address and port; several are tried in turn")
+        ->capture_default_str();
+    command->add_flag("--json", o->json, "For programs: what the service answered");
+    return command;
+  };
+  const auto conditions = [o](CLI::App* command) {
+    command->add_option("ID", o->id, "The member")->required();
+    command->add_option("--key", o->key, "Of this request: repeating it with the same key is harmless");
+    command->add_option("--if-revision", o->if_revision, "Only if the member has not changed since");
+    command->add_option("--if-incarnation", o->if_incarnation, "Only if this is its process");
+    return command;
+  };
+
+  CLI::App* const serve =
+      add("serve", "Serves as a list service", "serve deploy/registry.toml", [o] { return Serve(o->file); });
+  serve->add_option("CONFIG", o->file, "Its configuration (TOML)")->required();
+  CLI::App* const member = add("member", "Keeps a server process listed until SIGTERM", "member web-1.toml",
+                               [o] { return KeepMember(o->file, o->incarnation); });
+  member->add_option("CONFIG", o->file, "Its configuration (TOML)")->required();
+  member->add_option("--incarnation", o->incarnation,
+                     "Unix time in ms at which the process started; else now");
+
+  reach(add("members", "Lists the members", "members", [o] { return PrintList(*o, "/registry/members"); }));
+  CLI::App* const history =
+      reach(add("history", "Lists the changes that are still known", "history --after 1764600000000", [o] {
+        return PrintList(
+            *o, o->after >= 0 ? fmt::format("/registry/history?after={}", o->after) : "/registry/history");
+      }));
+  history->add_option("--after", o->after, "Only those behind this revision");
+  CLI::App* const watch =
+      reach(add("watch", "Prints changes as they come", "watch --json", [o] { return Watch(*o); }));
+  watch->add_option("--after", o->after, "From this revision on");
+  watch->add_option("--for", o->seconds, "Seconds; else for ever");
+  reach(add("status", "Tells how the service does", "status", [o] { return Status(*o); }));
+
+  CLI::App* const enter = conditions(
+      reach(add("register", "Lists a member, or changes what is said of it",
+                "register web-1 --address 10.1.0.18:3000", [o] {
+                  json body = {{"address", o->address}, {"zone", o->zone}, {"kind", o->kind},
+                               {"version", o->version}, {"size", o->size}, {"term_ms", o->term_s * 1000}};
+                  if (o->incarnation >= 0) body["incarnation"] = o->incarnation;
+                  return Write(*o, "register", body);
+                })));
+  enter->add_option("--address", o->address, "Where it serves")->required();
+  enter->add_option("--zone", o->zone, "Its zone");
+  enter->add_option("--kind", o->kind, "Its kind of machine");
+  enter->add_option("--version", o->version, "Label of what it runs");
+  enter->add_option("--size", o->size, "Relative size")->capture_default_str();
+  enter->add_option("--incarnation", o->incarnation, "Unix time in ms at which its process started");
+  enter->add_option("--term", o->term_s, "Seconds of its lease; 0: until it is removed")
+      ->capture_default_str();
+  conditions(reach(add("drain", "Takes a member out of new traffic", "drain web-1",
+                       [o] { return Write(*o, "drain", json::object()); })));
+  conditions(reach(add("undrain", "Ends a drain of operators", "undrain web-1",
+                       [o] { return Write(*o, "undrain", json::object()); })));
+  conditions(reach(add("remove", "Takes a member off the list, confirmed by you", "remove web-1",
+                       [o] { return Write(*o, "remove", json::object()); })));
+  CLI::App* const size = conditions(reach(add("size", "Sets a member's relative size", "size web-1 0.5", [o] {
+    return Write(*o, "size", {{"size", o->size}});
+  })));
+  size->add_option("SIZE", o->size, "Relative to others")->required();
+  CLI::App* const restore =
+      reach(add("restore", "Seeds a service that lost its disk from the gateways' lists",
+                "restore n1.json n2.json   # of: elderhead state export DIR", [o] { return Restore(*o); }));
+  restore->add_option("FILES", o->files, "Lists as published, or what 'elderhead state export' printed")
+      ->required();
+  restore->add_option("--term", o->term_s, "Seconds of the leases that they get; 0: none")
+      ->capture_default_str();
+}
+
+}  // namespace elderhead::cli
--- /dev/null
+++ b/src/cli/registry.hpp
@@ -0,0 +1,15 @@
+// `elderhead registry`: the list service, a member's agent, and the operators' calls to the service.
+#ifndef ELDERHEAD_CLI_REGISTRY_HPP_
+#define ELDERHEAD_CLI_REGISTRY_HPP_
+
+#include <CLI/CLI.hpp>
+#include <functional>
+
+namespace elderhead::cli {
+
+// `chosen` is set to what the command line asks for; its result is the exit code.
+void AddRegistry(CLI::App& app, std::function<int()>& chosen);
+
+}  // namespace elderhead::cli
+
+#endif  // ELDERHEAD_CLI_REGISTRY_HPP_
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -87,6 +87,20 @@
   Config config;
   config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
   config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
+  if (file.contains("discovery_endpoints") && !file["discovery_endpoints"].is_null()) {
+    const json& all = file["discovery_endpoints"];
+    if (!all.is_array() || all.empty()) throw ConfigError("discovery_endpoints: must be a list of addresses");
+    for (const json& one : all) {
+      const auto endpoint = ParseEndpoint(one.is_string() ? one.get<std::string>() : "");
+      if (!endpoint) throw ConfigError("discovery_endpoints: " + one.dump() + " is not an address and port");
+      config.other_discoveries.push_back(*endpoint);
+    }
+    config.list_guarded = true;
+    config.discovery = config.other_discoveries.front();
+    config.other_discoveries.erase(config.other_discoveries.begin());
+  }
+  config.most_removed = PositiveOr(file, "/list/most_removed", config.most_removed);
+  config.list_old_after = 1000 * PositiveOr(file, "/list/old_after_s", config.list_old_after / 1000);
   const char* const management = variable("NODE_MGMT");
   if (management != nullptr || (file.contains("mgmt") && !file["mgmt"].is_null())) {
     config.management = ReadAddress(management, "NODE_MGMT", file, "mgmt");
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/log.hpp"
 #include "discovery.hpp"
@@ -26,6 +27,11 @@
 struct Config {
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::vector<boost::asio::ip::tcp::endpoint>
+      other_discoveries;      // services of the same list; empty: one alone
+  bool list_guarded = false;  // a list that removes more than that at once has to be confirmed by operators
+  double most_removed = 0.5;  // share of the hosts
+  Millis list_old_after = 30000;  // without an answer the gateway says that its list is old
   std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators; none: no such listener
   std::string handover;  // the Unix socket on which a replacement asks for what it takes over; empty: none
   std::uint64_t seed = 0;
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -1,8 +1,10 @@
 #include "discovery.hpp"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -27,7 +29,9 @@
 constexpr Millis kDial = 1000;  // a discovery that is cut off never answers a dial
 constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
 constexpr std::size_t kMostList = 8 << 20;
-constexpr Millis kQuiet = 500;  // between two lines on calls
+constexpr Millis kQuiet = 500;           // between two lines on calls
+constexpr Millis kMoveWithin = 200;      // to the next service after one failed
+constexpr Millis kLongestAway = 600000;  // from the first service while that answers
 
 ServerState ToState(const std::string& phase) {
   if (phase == "up") return ServerState::kUp;
@@ -74,6 +78,12 @@
     list.revision = parsed.at("revision").get<std::int64_t>();
     list.complete = parsed.at("complete").get<bool>();
     for (const json& entry : parsed.at("members")) list.hosts.push_back(ToHost(entry));
+    list.epoch = parsed.value("epoch", "");  // goes into a request's target
+    if (list.epoch.size() > 64 ||
+        !std::ranges::all_of(list.epoch, [](unsigned char c) { return std::isalnum(c); })) {
+      throw std::invalid_argument("epoch");
+    }
+    list.confirmed = parsed.value("confirmed", std::int64_t{0});
     return list;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -100,8 +110,9 @@
     if (!server.cell.empty()) entry["cell"] = json::parse(server.cell, nullptr, /*allow_exceptions=*/false);
     members.push_back(std::move(entry));
   }
-  return json{{"revision", list.revision}, {"complete", list.complete}, {"members", std::move(members)}}
-      .dump();
+  json form = {{"revision", list.revision}, {"complete", list.complete}, {"members", std::move(members)}};
+  if (!list.epoch.empty()) form["epoch"] = list.epoch;
+  return form.dump();
 }
 
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
@@ -115,13 +126,32 @@
 };
 
 Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, bool sure,
-                     Handlers handlers)
+                     Handlers handlers, Several several)
     : io_(io),
-      address_(address),
+      addresses_{address},
       revision_(revision),
+      epoch_(several.epoch),
       handlers_(std::move(handlers)),
       pause_(io),
-      moved_(!sure) {}
+      moved_(!sure),
+      several_(std::move(several)),
+      random_(static_cast<std::minstd_rand::result_type>(several_.seed)),
+      look_(io),
+      news_(io),
+      return_after_(several_.return_after) {
+  addresses_.insert(addresses_.end(), several_.others.begin(), several_.others.end());
+  if (addresses_.size() > 1) LookLater();
+}
+
+std::string Discovery::Target(Millis wait) const {
+  return "/discovery/hosts?after=" + std::to_string(revision_) +
+         "&wait_ms=" + std::to_string(static_cast<int>(wait)) + (epoch_.empty() ? "" : "&epoch=" + epoch_);
+}
+
+// A replica that lags would bring back hosts that are gone. Another history counts anew.
+bool Discovery::IsOlder(const HostList& list) const {
+  return list.revision < revision_ && !moved_ && list.epoch == epoch_;
+}
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;  // asking again would be one more call on a shared service
@@ -137,7 +167,7 @@
   });
   if (!fresh) return Connected(call);
   socket_ = std::make_shared<tcp::socket>(io_);
-  socket_->async_connect(address_, [this, call, socket = socket_](error_code ec) {
+  socket_->async_connect(address(), [this, call, socket = socket_](error_code ec) {
     if (call != call_) return;
     if (ec) return Fail(call, ec.message());
     call->timer.expires_after(Span(kWait + kSilence));
@@ -150,9 +180,8 @@
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
   call->request.method(http::verb::get);
-  call->request.target("/discovery/hosts?after=" + std::to_string(revision_) +
-                       "&wait_ms=" + std::to_string(static_cast<int>(kWait)));
-  call->request.set(http::field::host, address_.address().to_string());
+  call->request.target(Target(kWait));
+  call->request.set(http::field::host, address().address().to_string());
   http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
     if (call != call_) return;
     if (ec) return Fail(call, ec.message());
@@ -178,12 +207,20 @@
   if (answer.result() != http::status::ok) return Fail(call, "status " + std::to_string(answer.result_int()));
   auto list = ParseHostList(answer.body());
   if (!list) return Fail(call, "not a list of hosts");
-  // A replica that lags would bring back hosts that are gone. Another service counts anew.
-  if (list->revision < revision_ && !moved_) {
+  if (IsOlder(*list)) {
     return Fail(call,
                 "revision " + std::to_string(list->revision) + " is older than " + std::to_string(revision_));
   }
+  if (!list->complete && !epoch_.empty() && list->epoch != epoch_) {
+    return Fail(call, "changes of another history");
+  }
+  if (handlers_.refused) {
+    if (const std::string why = handlers_.refused(*list); !why.empty()) return Fail(call, why);
+  }
   moved_ = false;
+  failed_in_row_ = 0;
+  heard_at_ = Now();
+  epoch_ = list->epoch;
   Say(*call,
       "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
           (list->complete ? " hosts, the whole list" : " hosts changed"),
@@ -214,10 +251,106 @@
   if (call != call_) return;
   Say(*call, "call failed: " + why, true);
   Drop();
+  if (addresses_.size() > 1) return MoveOn();
   watching_ = false;
   handlers_.failed();
 }
 
+// Each service is tried once, at once but not by all gateways in the same moment; then the policy says when.
+void Discovery::MoveOn() {
+  const std::size_t failed = std::exchange(at_, (at_ + 1) % addresses_.size());
+  if (failed == 0) {
+    left_first_at_ = Now();
+    // It failed soon after the return: the next one comes later.
+    if (back_at_ > 0 && Now() - back_at_ < return_after_)
+      return_after_ = std::min(2 * return_after_, kLongestAway);
+  }
+  if (++failed_in_row_ % addresses_.size() == 0) {
+    watching_ = false;
+    return handlers_.failed();
+  }
+  pause_.expires_after(Span(std::uniform_real_distribution<double>(0, kMoveWithin)(random_)));
+  pause_.async_wait([this](error_code ec) {
+    if (!ec && !call_) Ask();
+  });
+}
+
+void Discovery::SwitchTo(std::size_t service, const std::string& why) {
+  base::Log(base::Level::kInfo, "discovery", "switched",
+            "discovery: to service " + std::to_string(service) + " of " + std::to_string(addresses_.size()) +
+                ": " + why);
+  if (at_ == 0) left_first_at_ = Now();
+  if (service == 0) back_at_ = Now();
+  Drop();
+  pause_.cancel();
+  at_ = service;
+  watching_ = true;
+  Ask();
+}
+
+void Discovery::LookLater() {
+  look_.expires_after(
+      Span(several_.look_every * std::uniform_real_distribution<double>(0.75, 1.25)(random_)));
+  look_.async_wait([this](error_code ec) {
+    if (ec) return;
+    const bool back = at_ != 0 && Now() - left_first_at_ >= return_after_;
+    looked_at_ = (looked_at_ + 1) % addresses_.size();
+    if (looked_at_ == at_) looked_at_ = (looked_at_ + 1) % addresses_.size();
+    LookAt(back ? 0 : looked_at_);
+    LookLater();
+  });
+}
+
+// One call that waits for nothing, on a connection of its own; it tells nothing to anyone else.
+struct Discovery::Look {
+  explicit Look(asio::io_context& io) : socket(io), timer(io) { parser.body_limit(kMostList); }
+  tcp::socket socket;
+  asio::steady_timer timer;
+  http::request<http::empty_body> request;
+  http::response_parser<http::string_body> parser;
+  boost::beast::flat_buffer buffer;
+};
+
+void Discovery::LookAt(std::size_t service) {
+  const auto look = std::make_shared<Look>(io_);
+  look->timer.expires_after(Span(kDial));
+  look->timer.async_wait([look](error_code ec) {
+    error_code ignored;
+    if (!ec) look->socket.close(ignored);
+  });
+  look->request.method(http::verb::get);
+  look->request.target(Target(0));
+  look->request.set(http::field::host, addresses_[service].address().to_string());
+  look->request.keep_alive(false);
+  look->socket.async_connect(addresses_[service], [this, look, service](error_code connect_ec) {
+    if (connect_ec) return look->timer.cancel(), void();
+    http::async_write(look->socket, look->request, [this, look, service](error_code write_ec, std::size_t) {
+      if (write_ec) return look->timer.cancel(), void();
+      http::async_read(look->socket, look->buffer, look->parser,
+                       [this, look, service](error_code read_ec, std::size_t) {
+                         look->timer.cancel();
+                         if (read_ec || look->parser.get().result() != http::status::ok) return;
+                         if (const auto list = ParseHostList(look->parser.get().body()))
+                           Looked(service, *list);
+                       });
+    });
+  });
+}
+
+void Discovery::Looked(std::size_t service, const HostList& list) {
+  if (list.epoch != epoch_ || service == at_) return;
+  if (service == 0 && Now() - left_first_at_ >= return_after_ && list.revision >= revision_) {
+    return SwitchTo(0, "it answers again");
+  }
+  if (list.revision <= revision_ || std::exchange(news_due_, true)) return;
+  news_.expires_after(Span(several_.news_within));
+  news_.async_wait([this, service, newest = list.revision](error_code ec) {
+    news_due_ = false;
+    if (!ec && service != at_ && revision_ < newest)
+      SwitchTo(service, "it has news that this one does not get");
+  });
+}
+
 // Ends the call that is on, and the connection.
 void Discovery::Drop() {
   if (call_) call_->timer.cancel();
@@ -232,7 +365,7 @@
 void Discovery::Move(const tcp::endpoint& address) {
   Drop();
   pause_.cancel();
-  address_ = address;
+  addresses_[at_ = 0] = address;
   moved_ = watching_ = true;
   Ask();
 }
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,9 @@
   std::int64_t revision = 0;
   bool complete = true;  // else only what changed
   std::vector<Host> hosts;
+  // Of the project's own list service; the platform's says neither.
+  std::string epoch;           // of its history: revisions of another one count anew
+  std::int64_t confirmed = 0;  // revision of the last removal by operators' word
 };
 
 // "10.1.0.18:3000"; nothing if it is anything else.
@@ -40,11 +44,24 @@
   struct Handlers {
     std::function<void(HostList)> told;
     std::function<void()> failed;  // the watch has ended; Watch() begins a new one
+    // Why such a list must not be believed; empty: it may. None: all are.
+    std::function<std::string(const HostList&)> refused;
+  };
+  // Several services of one list. One watch at a time: it moves on when a call fails, when the list is
+  // refused or when another service has news that this one does not get, and comes back to the first.
+  struct Several {
+    std::vector<boost::asio::ip::tcp::endpoint>
+        others;                   // behind the first, in the order in which they are tried
+    std::uint64_t seed = 0;       // of the jitter
+    std::string epoch;            // of the revision known
+    Millis look_every = 5000;     // at another service, whether it has news
+    Millis news_within = 2000;    // that this one may take longer
+    Millis return_after = 30000;  // away from the first; doubles each time that it fails soon again
   };
   // `sure`: the revision is this service's. Else, as that of a list from the disk, it is only where the first
   // call begins: the service may count anew by now.
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, std::int64_t revision,
-            bool sure, Handlers handlers);
+            bool sure, Handlers handlers, Several several);
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
@@ -52,8 +69,21 @@
   // Discovery has another address from now on: begins a watch there at once, from the last revision known.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
+  // When a call was last answered with a list that was taken; 0: never. And by which service, from 0.
+  Millis heard_at() const { return heard_at_; }
+  std::size_t service() const { return at_; }
+
  private:
   struct Call;
+  struct Look;
+  const boost::asio::ip::tcp::endpoint& address() const { return addresses_[at_]; }
+  std::string Target(Millis wait) const;
+  bool IsOlder(const HostList& list) const;
+  void MoveOn();
+  void SwitchTo(std::size_t service, const std::string& why);
+  void LookLater();
+  void LookAt(std::size_t service);
+  void Looked(std::size_t service, const HostList& list);
   void Ask();
   void Connected(const std::shared_ptr<Call>& call);
   void Answered(const std::shared_ptr<Call>& call);
@@ -62,8 +92,10 @@
   void Drop();
 
   boost::asio::io_context& io_;
-  boost::asio::ip::tcp::endpoint address_;
+  std::vector<boost::asio::ip::tcp::endpoint> addresses_;
+  std::size_t at_ = 0;  // of them
   std::int64_t revision_;
+  std::string epoch_;
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
@@ -71,6 +103,12 @@
   bool watching_ = false;
   bool moved_;              // or not sure of the revision, and not heard from there yet
   Millis quiet_until_ = 0;  // no line on a call is logged before
+  const Several several_;
+  std::minstd_rand random_;
+  boost::asio::steady_timer look_, news_;
+  bool news_due_ = false;  // another service has news, and this one a moment to get them
+  std::size_t failed_in_row_ = 0, looked_at_ = 0;
+  Millis heard_at_ = 0, left_first_at_ = 0, back_at_ = 0, return_after_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -93,6 +93,11 @@
   return {};
 }
 
+// Of the list that the revision known is of.
+std::string EpochOf(const Inheritance& inheritance, const std::optional<KeptState>& kept) {
+  return inheritance.estate ? inheritance.estate->list.epoch : kept ? kept->list.epoch : "";
+}
+
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config)
@@ -119,7 +124,10 @@
                     told_at_ = Now();
                     Told(list);
                   },
-                  [this] { ListFailed(); }}),
+                  [this] { ListFailed(); },
+                  config.list_guarded ? [this](const HostList& list) { return Refused(list); }
+                                      : std::function<std::string(const HostList&)>()},
+                 {config.other_discoveries, config.seed, EpochOf(inheritance, kept)}),
       figures_(config.settings),
       stop_(io),
       counting_(io),
@@ -130,6 +138,9 @@
                     [this](double factor) { policy_.Scale(factor); }, [this](bool half) { SetPlaces(half); },
                     [this](Descriptor client) { clients_.Adopt(std::move(client)); }}),
       keep_(io),
+      most_removed_(config.most_removed),
+      list_old_after_(config.list_old_after),
+      started_at_(Now()),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
                config.settings, config.memory / 4,
                {[this] { return Ready() || (stopping_ && !draining_ && replacement_.Succeeded()); },
@@ -239,6 +250,7 @@
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
   listed_ = listed_ || !list.hosts.empty();
   revision_ = list.revision;
+  if (!list.epoch.empty()) epoch_ = list.epoch;
   if (list.complete) list_.clear();
   for (const Host& host : list.hosts) {
     if (host.server.state == ServerState::kGone) {
@@ -281,6 +293,32 @@
   discovery_.Move(address);
 }
 
+// Why the list must not be believed: it loses more hosts at once than any trouble explains but the service's
+// own. What it says of drains binds all the same.
+std::string Gateway::Refused(const HostList& list) {
+  std::size_t left = 0, gone = 0;
+  HostList draining;
+  draining.revision = revision_;
+  draining.complete = false;
+  for (const Host& host : list.hosts) {
+    const auto known = list_.find(host.server.id);
+    if (known == list_.end()) continue;
+    if (host.server.state == ServerState::kGone) ++gone;
+    if (host.server.state != ServerState::kGone) ++left;
+    if (host.server.state == ServerState::kDraining)
+      draining.hosts.push_back({host.server, known->second.address});
+  }
+  if (list.complete) gone = list_.size() - left;
+  const bool many = gone > 1 && static_cast<double>(gone) > most_removed_ * static_cast<double>(list_.size());
+  if (!many || list.confirmed > revision_) return "";
+  if (!draining.hosts.empty()) Told(draining);
+  return Words("a list without %zu of %zu hosts, which no operator has confirmed", gone, list_.size());
+}
+
+bool Gateway::ListOld() const {
+  return Now() - std::max(discovery_.heard_at(), started_at_) > list_old_after_;
+}
+
 void Gateway::ListFailed() {
   Report(ServerNews{ServerNews::Kind::kFailed, {}});  // the policy says when to ask again
 }
@@ -367,6 +405,12 @@
                 {"resets_total", "counter", "Connections that broke under an attempt",
                  number(c.reset_new + c.reset_reused)},
                 {"clients_left_total", "counter", "Clients that left unanswered", number(left_)},
+                {"list_age_seconds", "gauge", "Since the list was last known to hold",
+                 (Now() - std::max(discovery_.heard_at(), told_at_)) / 1000},
+                {"list_old", "gauge", "1 while no list service has answered for too long",
+                 ListOld() ? 1.0 : 0.0},
+                {"list_service", "gauge", "Which of the list services is watched, from 0",
+                 number(discovery_.service())},
                 {"list_from_state", "gauge", "1 while the list in force is from the disk",
                  list_kept_ ? 1.0 : 0.0},
                 {"state_ok", "gauge", "0 once keeping state has failed",
@@ -399,6 +443,12 @@
 
 // Every few seconds, what became of the connections since the last such line.
 void Gateway::LogCounts() {
+  if (std::exchange(said_old_, ListOld()) != ListOld()) {
+    base::Log(said_old_ ? base::Level::kWarning : base::Level::kInfo, "discovery",
+              said_old_ ? "list_old" : "list_fresh",
+              said_old_ ? Words("discovery: no list for %.0f s; the old one holds", list_old_after_ / 1000)
+                        : "discovery: the list is fresh again");
+  }
   const HostPool::Counts& now = hosts_.counts();
   const HostPool::Counts was = std::exchange(counted_, now);
   const auto since = [](std::uint64_t a, std::uint64_t b) { return static_cast<unsigned long long>(a - b); };
@@ -542,6 +592,7 @@
 HostList Gateway::Listed() const {
   HostList list;
   list.revision = revision_;
+  list.epoch = epoch_;
   for (const auto& [id, host] : list_) list.hosts.push_back(host);
   return list;
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -81,6 +81,8 @@
   void Take(ClientRequest request);
   void Told(const HostList& list);
   void ListFailed();
+  std::string Refused(const HostList& list);
+  bool ListOld() const;
   void Whole(const std::string& id, Millis at);
   void Begun(const std::string& id, std::size_t attempt, HttpResponse response,
              std::shared_ptr<BodySource> rest);
@@ -123,6 +125,7 @@
   bool stopping_ = false;
   bool draining_ = false;             // by the operators' word
   std::int64_t revision_ = 0;         // of the list of hosts
+  std::string epoch_;                 // the same; empty where the service has none
   std::map<std::string, Host> list_;  // draining ones too
   Figures figures_;
   boost::asio::steady_timer stop_;
@@ -133,6 +136,9 @@
   Replacement replacement_;
   std::optional<StateKeeper> keeper_;
   boost::asio::steady_timer keep_;
+  const double most_removed_;
+  const Millis list_old_after_, started_at_;
+  bool said_old_ = false;
   Millis told_at_ = 0;      // when the list was last known to hold
   bool list_kept_ = false;  // the list in force is from the disk, and discovery has not answered yet
   ClientServer clients_;
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,149 @@
+// Several services of one list: one watch at a time, that moves, comes back and never goes back in time.
+#include <gtest/gtest.h>
+
+#include "base/clock.hpp"
+#include "world.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using gateway::Discovery;
+using gateway::HostList;
+
+// Two services that say what the test sets, and the watch on them.
+struct TwoServices {
+  struct One {
+    explicit One(asio::io_context& io) : peer(io) {}
+    Peer peer;
+    std::int64_t revision = 50;
+    std::string epoch = "e1";
+    int status = 200;
+    bool mute = false;        // a call is never answered
+    std::size_t watches = 0;  // calls that may wait
+  };
+  TwoServices() {
+    for (One* one : {&first, &second}) {
+      one->peer.serve = [one](const Peer::Taken& taken) {
+        const std::string target(taken.http.target());
+        const bool waits = target.find("wait_ms=0") == std::string::npos;
+        one->watches += waits;
+        if (one->mute) return;
+        nlohmann::json list = List(one->revision, true, {Member("h0", Loopback(80))});
+        list["epoch"] = one->epoch;
+        const auto after = target.find("after=" + std::to_string(one->revision) + "&");
+        if (waits && after != std::string::npos && one->status == 200) return;  // no news: it waits
+        taken.Answer(one->status, list.dump());
+      };
+    }
+    Discovery::Several several;
+    several.others = {second.peer.address()};
+    several.look_every = 40;
+    several.news_within = 60;
+    several.return_after = 150;
+    discovery.emplace(io, first.peer.address(), 0, true,
+                      Discovery::Handlers{[this](const HostList& list) { told.push_back(list.revision); },
+                                          [this] { ++failed; }, [this](const HostList&) { return refuse; }},
+                      several);
+    discovery->Watch();
+  }
+  ::testing::AssertionResult Until(const std::function<bool()>& done) {
+    if (RunUntil(io, done)) return ::testing::AssertionSuccess();
+    return ::testing::AssertionFailure() << "did not come about";
+  }
+
+  asio::io_context io;
+  One first{io}, second{io};
+  std::vector<std::int64_t> told;
+  int failed = 0;
+  std::string refuse;
+  std::optional<Discovery> discovery;
+};
+
+TEST(Discovery, MovesToAnotherServiceAndComesBack) {
+  TwoServices w;
+  ASSERT_TRUE(w.Until([&] { return w.told == std::vector<std::int64_t>{50}; }));
+  EXPECT_EQ(w.discovery->service(), 0u);
+  w.first.status = 503;
+  for (const auto& connection : w.first.peer.connections) connection->Reset();
+  ASSERT_TRUE(w.Until([&] { return w.discovery->service() == 1 && w.second.watches > 0; }));
+  EXPECT_EQ(w.failed, 0);  // the other one was tried before anyone waits
+  w.second.revision = 51;
+  w.first.status = 200;
+  w.first.revision = 51;
+  ASSERT_TRUE(w.Until([&] { return w.discovery->service() == 0 && w.told.back() == 51; }));
+}
+
+TEST(Discovery, AsksEachServiceOnceBeforeItWaits) {
+  TwoServices w;
+  w.first.status = w.second.status = 503;
+  ASSERT_TRUE(w.Until([&] { return w.failed == 1; }));
+  EXPECT_EQ(w.first.watches + w.second.watches, 2u);
+}
+
+TEST(Discovery, LeavesAServiceThatGetsNoNews) {
+  TwoServices w;
+  ASSERT_TRUE(w.Until([&] { return w.told.size() == 1; }));
+  w.second.revision = 52;  // the first one stays at 50
+  ASSERT_TRUE(w.Until([&] { return w.told.back() == 52; }));
+  EXPECT_EQ(w.discovery->service(), 1u);
+  // The first one, which lags, is not gone back to: it would tell an older list.
+  const Millis until = elderhead::base::Now() + 500;
+  ASSERT_TRUE(w.Until([&] { return elderhead::base::Now() > until; }));
+  EXPECT_EQ(w.discovery->service(), 1u);
+  EXPECT_EQ(w.told.back(), 52);
+}
+
+TEST(Discovery, TakesAnOlderRevisionOnlyOfAnotherHistory) {
+  TwoServices w;
+  ASSERT_TRUE(w.Until([&] { return w.told.size() == 1; }));
+  w.second.revision = 40;
+  for (const auto& connection : w.first.peer.connections) connection->Reset();
+  w.first.status = 503;
+  ASSERT_TRUE(w.Until([&] { return w.failed > 0; }));
+  EXPECT_EQ(w.told, std::vector<std::int64_t>{50});
+  w.second.epoch = "e2";  // the service lost its disk
+  w.discovery->Watch();
+  ASSERT_TRUE(w.Until([&] {
+    if (w.failed > 1) w.failed = 0, w.discovery->Watch();
+    return w.told.back() == 40;
+  }));
+}
+
+TEST(Discovery, RefusesAListAsAWhole) {
+  TwoServices w;
+  w.refuse = "too many are gone";
+  ASSERT_TRUE(w.Until([&] { return w.failed == 1; }));
+  EXPECT_TRUE(w.told.empty());
+  EXPECT_EQ(w.discovery->heard_at(), 0);
+}
+
+// Guards the hosts against a service that forgot them: its list is not believed without operators' word, but
+// what drains in it drains.
+TEST(Discovery, GatewayKeepsHostsThatNobodyConfirmedToBeGone) {
+  World world(6);
+  world.GuardList();
+  const auto told = [&](std::int64_t revision, std::size_t hosts, std::int64_t confirmed) {
+    std::vector<nlohmann::json> members;
+    for (std::size_t i = 0; i < hosts; ++i) {
+      members.push_back(Member("h" + std::to_string(i), world.host(i).address(), i == 0 ? "draining" : "up"));
+    }
+    nlohmann::json list = List(revision, true, members);
+    list["confirmed"] = confirmed;
+    return list.dump();
+  };
+  const auto answer = [&](const std::string& body) {
+    const std::size_t asked = world.discovery.requests.size();
+    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() > asked; }));
+    world.discovery.requests.back().Answer(200, body);
+  };
+  answer(told(42, 2, 0));
+  answer(told(43, 2, 0));
+  EXPECT_EQ(world.Vars()["pool_size"], 6);
+  answer(told(44, 3, 0));  // half of them is not too many
+  ASSERT_TRUE(world.Until([&] { return world.Vars()["pool_size"] == 3; }));
+  answer(told(46, 1, 45));  // confirmed
+  ASSERT_TRUE(world.Until([&] { return world.Vars()["pool_size"] == 1; }));
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -300,7 +300,7 @@
 }
 
 TEST(State, IsReadWholeOrNotAtAll) {
-  const std::string good = ToText(gateway::KeptState{{42, true, {}}, true, 5, {}});
+  const std::string good = ToText(gateway::KeptState{{42, true, {}, {}, 0}, true, 5, {}});
   ASSERT_TRUE(gateway::ParseKeptState(good));
   EXPECT_TRUE(gateway::ParseKeptState(good)->draining);
   for (const char* bad :
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -52,6 +52,11 @@
     gateway.reset();
     gateway.emplace(io, config_);
   }
+  // As with the list services named in `discovery_endpoints`.
+  void GuardList() {
+    config_.list_guarded = true;
+    Restart();
+  }
   const std::string& owner() const { return config_.state_owner; }
 
   template <typename Done>
