Lab: plays the list service as a process with faults, and measures what it bears

Need: the list service had to be shown between processes: killed, stopped, without disk, cut off, and with members that can't renew while they serve.

Change: registry = true in an experiment's fleet starts `elderhead registry serve`; emulated hosts register and renew; each gateway reaches it over its own link with the hosts' addresses as it sees them. Faults list_kill, list_stop, list_full, list_cut, list_truncate, member_cut; figure list_lag_ms. `elderhead lab registry` measures members, watchers, writes and recovery.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -1,5 +1,7 @@
 #include "base/base.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <numeric>
 #include <utility>
@@ -35,4 +37,11 @@
   return best;
 }
 
+void RaiseDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 }  // namespace elderhead::base
--- a/src/base/base.hpp
+++ b/src/base/base.hpp
@@ -15,6 +15,9 @@
 // near (more than a third of the letters, or three, differ).
 std::string Nearest(std::string_view typed, const std::vector<std::string>& words);
 
+// As many descriptors as the system allows this process; fewer are no error.
+void RaiseDescriptors();
+
 }  // namespace elderhead::base
 
 #endif  // ELDERHEAD_BASE_BASE_HPP_
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,7 +2,6 @@
 // nothing.
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -16,6 +15,7 @@
 #include "cli/state.hpp"
 #include "gateway/config.hpp"
 #include "lab/lab.hpp"
+#include "lab/registry_load.hpp"
 #include "lab/schedule.hpp"
 #include "lab/stand_in.hpp"
 
@@ -38,17 +38,9 @@
 // This program's own path, and that of a sibling.
 std::filesystem::path Self() { return std::filesystem::read_symlink("/proc/self/exe"); }
 
-// Each emulated host has a socket for each gateway.
-void RaiseDescriptors() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 int RunLab(const std::string& file, lab::RunOptions options, const std::string& json) {
   const lab::Experiment experiment = lab::ReadExperiment(file);
-  RaiseDescriptors();
+  base::RaiseDescriptors();  // each emulated host has a socket for each gateway
   signal(SIGINT, [](int) { lab::Interrupt(); });
   signal(SIGTERM, [](int) { lab::Interrupt(); });
   signal(SIGPIPE, SIG_IGN);
@@ -164,6 +156,32 @@
     };
   });
 
+  lab::RegistryLoad load;
+  load.program = options.self;
+  CLI::App* const bear =
+      lab_command->add_subcommand("registry", "Measures what the list service bears, on this machine's disk");
+  bear->add_option("--members", load.members, "That renew")
+      ->check(CLI::Range(1, 20000))
+      ->capture_default_str();
+  bear->add_option("--watchers", load.watchers, "That wait")
+      ->check(CLI::Range(1, 20000))
+      ->capture_default_str();
+  bear->add_option("--changes", load.changes, "Timed to all watchers")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  bear->add_option("--history", load.history, "Changes before the kill")
+      ->check(CLI::Range(1000, 1000000))
+      ->capture_default_str();
+  bear->footer("Example: elderhead lab registry --watchers 5000");
+  bear->callback([&] {
+    chosen = [&] {
+      base::RaiseDescriptors();
+      signal(SIGPIPE, SIG_IGN);
+      for (const auto& [name, value] : lab::MeasureRegistry(load)) fmt::print("{:28} {:.6g}\n", name, value);
+      return kHeld;
+    };
+  });
+
   lab::StandIn stand_in;
   CLI::App* const stand =
       lab_command->add_subcommand("stand-in", "Serves as the plainest gateway, for the lab's own use");
--- a/src/cli/registry.cpp
+++ b/src/cli/registry.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -244,7 +245,10 @@
   registry::ServiceOptions options = registry::ReadServiceOptions(file);
   options.program = ELDERHEAD_VERSION;
   options.epoch = RandomWord();
-  options.first = UnixMillis();  // above all that a lost service gave, at under 1,000 changes a second
+  options.first = UnixMillis();   // above all that a lost service gave, at under 1,000 changes a second
+  std::signal(SIGXFSZ, SIG_IGN);  // a limit on files is a full disk
+  std::signal(SIGPIPE, SIG_IGN);
+  base::RaiseDescriptors();
   boost::asio::io_context io(1);
   const auto files = store::MakePosixFileSystem();
   registry::Service service(io, *files, options);
--- a/src/lab/addresses.hpp
+++ b/src/lab/addresses.hpp
@@ -38,6 +38,9 @@
     return At(gateway + 1, static_cast<std::uint16_t>(10000 + host));
   }
 
+  // The list service itself, where it is a process.
+  Endpoint Registry() const { return At(253, 8500); }
+
   // Where the gateway reaches the other one, and hears it from; and where it listens for all of them.
   Endpoint Peer(int gateway, int other) const {
     return At(gateway + 1, static_cast<std::uint16_t>(20000 + other));
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -24,6 +24,12 @@
                                                              {"term", FaultKind::kTerm},
                                                              {"replace", FaultKind::kReplace},
                                                              {"list_down", FaultKind::kListDown},
+                                                             {"list_kill", FaultKind::kListKill},
+                                                             {"list_stop", FaultKind::kListStop},
+                                                             {"list_full", FaultKind::kListFull},
+                                                             {"list_cut", FaultKind::kListCut},
+                                                             {"list_truncate", FaultKind::kListTruncate},
+                                                             {"member_cut", FaultKind::kMemberCut},
                                                              {"zone_cut", FaultKind::kZoneCut},
                                                              {"cut", FaultKind::kCut},
                                                              {"reset", FaultKind::kReset},
@@ -115,6 +121,7 @@
     case FaultKind::kReplace:
     case FaultKind::kPeers:
     case FaultKind::kPeerCut:
+    case FaultKind::kListCut:
     case FaultKind::kDelay:
       f.gateways = ReadNumbers(t, "gateway", e.fleet.gateways);
       f.text += " gateway " + t.Text("gateway");
@@ -125,6 +132,7 @@
     case FaultKind::kHostKill:
     case FaultKind::kHostDrain:
     case FaultKind::kHostVanish:
+    case FaultKind::kMemberCut:
       f.hosts = ReadNumbers(t, "host", e.HostCount());
       f.text += " host " + t.Text("host");
       break;
@@ -134,6 +142,10 @@
       f.text += " " + f.zone;
       break;
     case FaultKind::kListDown:
+    case FaultKind::kListKill:
+    case FaultKind::kListStop:
+    case FaultKind::kListFull:
+    case FaultKind::kListTruncate:
     case FaultKind::kBurst: break;
   }
   if (f.kind == FaultKind::kSlow || f.kind == FaultKind::kDelay || f.kind == FaultKind::kBurst) {
@@ -151,9 +163,13 @@
   } else if (f.kind == FaultKind::kPeerCut) {
     f.peers = ReadNumbers(t, "peer", e.fleet.gateways);
     f.text += " from " + t.Text("peer");
-  } else if (f.kind == FaultKind::kFail) {
+  } else if (f.kind == FaultKind::kFail || f.kind == FaultKind::kListTruncate) {
     f.size = t.Number("size", kShare);
   }
+  const bool own_list = f.kind >= FaultKind::kListKill && f.kind <= FaultKind::kMemberCut;
+  if (own_list && !e.fleet.registry) t.Fail("what", "needs registry = true in [fleet]");
+  if (f.kind == FaultKind::kListDown && e.fleet.registry) t.Fail("what", "is of the stand-in; use list_kill");
+  if (f.kind == FaultKind::kListKill && f.lasts <= 0) t.Fail("for_s", "missing: when it is started again");
   if ((f.kind == FaultKind::kPeers || f.kind == FaultKind::kPeerCut) && !e.fleet.peers) {
     t.Fail("what", "needs peers = true in [fleet]");
   }
@@ -204,6 +220,9 @@
     e.fleet.retry_after = f->Flag("retry_after", e.fleet.retry_after);
     e.fleet.file_kb = f->Whole("file_kb", e.fleet.file_kb, 0, 1 << 30);
     e.fleet.state = f->Flag("state", e.fleet.state);
+    e.fleet.registry = f->Flag("registry", e.fleet.registry);
+    e.fleet.lease_term = f->Number("lease_term_s", e.fleet.lease_term / kMs, {0.5, 3600}) * kMs;
+    e.fleet.lease_grace = f->Number("lease_grace_s", e.fleet.lease_grace / kMs, kNotNegative) * kMs;
     e.fleet.peers = f->Flag("peers", e.fleet.peers);
     if (e.fleet.peers && e.fleet.gateways > kMostPeers) {
       f->Fail("peers", fmt::format("takes a socket for each pair: {} gateways at most", kMostPeers));
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -74,8 +74,10 @@
   int sockets = 1024;
   int memory_mb = 192;
   bool retry_after = true;
-  int file_kb = 0;              // limit on a file that a gateway writes, as a full disk is; 0: none
-  bool state = false;           // each gateway has a folder for its state, the same after a restart
+  int file_kb = 0;        // limit on a file that a gateway writes, as a full disk is; 0: none
+  bool state = false;     // each gateway has a folder for its state, the same after a restart
+  bool registry = false;  // the list is the project's own service, as a process
+  Millis lease_term = 3000, lease_grace = 1500;
   bool peers = false;           // gateways may send each other datagrams
   Millis ready_within = 30000;  // DEPLOY: clients come once all gateways are ready, or after 30 s
 };
@@ -87,25 +89,31 @@
 };
 
 enum class FaultKind {
-  kKill,        // a gateway: SIGKILL; started again after for_s
-  kStop,        // a gateway: SIGSTOP, SIGCONT after for_s
-  kTerm,        // a gateway: SIGTERM; started again when it has ended, for_s later
-  kReplace,     // a gateway: a new process beside it, SIGTERM to the old one at the new one's yes
-  kListDown,    // the list service
-  kZoneCut,     // a zone from all others: nothing passes, either way
-  kCut,         // a gateway from a host: both ways, `there` (to the host) or `back`
-  kReset,       // all connections between a gateway and a host break, once
-  kSlow,        // a host: at `size` times its speed
-  kFail,        // a host: share `size` of requests ends as 500
-  kMute,        // a host: answers nothing
-  kHostKill,    // a host: gone with its connections; back, cold, after for_s
-  kHostVanish,  // a host: its machine is gone, nothing answers and nothing is refused; back, cold, after
-                // for_s
-  kHostDrain,   // a host: drains for for_s, then is removed
-  kDelay,       // all links of a gateway: `size` ms more each way, and up to `jitter` ms by chance
-  kPeers,       // datagrams from and to a gateway: lost, repeated, reordered, delayed
-  kPeerCut,     // a gateway from others: datagrams between them are lost, both ways
-  kBurst,       // traffic times `size`
+  kKill,          // a gateway: SIGKILL; started again after for_s
+  kStop,          // a gateway: SIGSTOP, SIGCONT after for_s
+  kTerm,          // a gateway: SIGTERM; started again when it has ended, for_s later
+  kReplace,       // a gateway: a new process beside it, SIGTERM to the old one at the new one's yes
+  kListDown,      // the list service
+  kListKill,      // the list service as a process: SIGKILL; started again after for_s
+  kListStop,      // the same: SIGSTOP
+  kListFull,      // its disk takes nothing
+  kListCut,       // gateways from it
+  kListTruncate,  // share `size` of its answers is cut off half-way
+  kMemberCut,     // hosts from it: they serve, and can't renew
+  kZoneCut,       // a zone from all others: nothing passes, either way
+  kCut,           // a gateway from a host: both ways, `there` (to the host) or `back`
+  kReset,         // all connections between a gateway and a host break, once
+  kSlow,          // a host: at `size` times its speed
+  kFail,          // a host: share `size` of requests ends as 500
+  kMute,          // a host: answers nothing
+  kHostKill,      // a host: gone with its connections; back, cold, after for_s
+  kHostVanish,    // a host: its machine is gone, nothing answers and nothing is refused; back, cold, after
+                  // for_s
+  kHostDrain,     // a host: drains for for_s, then is removed
+  kDelay,         // all links of a gateway: `size` ms more each way, and up to `jitter` ms by chance
+  kPeers,         // datagrams from and to a gateway: lost, repeated, reordered, delayed
+  kPeerCut,       // a gateway from others: datagrams between them are lost, both ways
+  kBurst,         // traffic times `size`
 };
 
 struct Fault {
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -85,6 +85,8 @@
       {"limits", {{"cores", 1.0}, {"memory_mb", e.fleet.memory_mb}, {"sockets", e.fleet.sockets}}},
       {"known", json::parse(s_.known(gateway))},
       {"settings", settings}};
+  // An earlier program passes over it.
+  if (e.fleet.registry) config["discovery_endpoints"] = {Addresses::Text(s_.addresses.List(gateway))};
   if (e.fleet.state) config["state_dir"] = (s_.folder / fmt::format("g{}", gateway) / "state").string();
   return config.dump();
 }
--- a/src/lab/list_service.hpp
+++ b/src/lab/list_service.hpp
@@ -1,9 +1,12 @@
-// The stand-in for discovery, by the protocol page: the whole list, watches, news that come late.
+// Discovery as each gateway meets it, behind a link of its own: a stand-in by the protocol page (the whole
+// list, watches, news that come late), or a way through to the project's own list service, with the hosts'
+// addresses as this gateway reaches them.
 #ifndef ELDERHEAD_LAB_LIST_SERVICE_HPP_
 #define ELDERHEAD_LAB_LIST_SERVICE_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -12,6 +15,7 @@
 
 #include "lab/addresses.hpp"
 #include "lab/http.hpp"
+#include "lab/registry_process.hpp"
 
 namespace elderhead::lab {
 
@@ -31,12 +35,15 @@
     int gateways;
     Millis delay;
     std::function<Link*(int gateway)> link;
+    RegistryProcess* registry = nullptr;  // none: the stand-in
   };
   ListService(Setting setting, std::vector<Member> members);
 
   // Becomes news after the delay.
   void Change(int host, const std::string& phase, double up_since);
   void SetDown(bool down);
+  // Of answers of the list service, this share is cut off half-way.
+  void SetTruncation(double share) { truncation_ = share; }
 
   // The whole list in discovery's form, as this gateway sees the addresses.
   std::string Whole(int gateway) const { return Body(gateway, 0, true); }
@@ -46,6 +53,8 @@
   // A gateway that starts again knows only what its configuration says.
   void Forget(int gateway);
   std::uint64_t calls() const { return calls_; }
+  // Revision of the newest list that passed to this gateway; 0: none.
+  std::int64_t Passed(int gateway) const { return passed_[static_cast<std::size_t>(gateway)]; }
 
  private:
   struct Watch {
@@ -61,6 +70,8 @@
   void Answer(int gateway, std::int64_t after, bool whole,
               const std::shared_ptr<ServerConnection>& connection);
   std::string Body(int gateway, std::int64_t after, bool whole) const;
+  void PassOn(int gateway, const std::shared_ptr<ServerConnection>& connection, const std::string& target);
+  void PassBack(int gateway, const std::shared_ptr<ServerConnection>& connection, HttpResponse response);
   void WakeAll();
 
   Setting s_;
@@ -73,6 +84,10 @@
   std::vector<std::shared_ptr<Watch>> watches_;
   std::vector<std::vector<Millis>> told_;
   std::uint64_t calls_ = 0;
+  std::vector<std::int64_t> passed_;
+  std::map<std::shared_ptr<ServerConnection>, std::shared_ptr<ClientConnection>> through_;
+  double truncation_ = 0;
+  int answers_ = 0;
 };
 
 }  // namespace elderhead::lab
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -1,12 +1,10 @@
 // One play: the parties, the timeline of faults, and the figures at its end.
 #include <fmt/format.h>
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <cmath>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <map>
 
@@ -16,6 +14,7 @@
 #include "lab/lab.hpp"
 #include "lab/list_service.hpp"
 #include "lab/peer_net.hpp"
+#include "lab/temporary_folder.hpp"
 
 namespace elderhead::lab {
 namespace {
@@ -42,29 +41,11 @@
   return ms(usage.ru_utime) + ms(usage.ru_stime);
 }
 
-// A folder that goes with its owner.
-class TemporaryFolder {
- public:
-  TemporaryFolder() {
-    std::string path = (std::filesystem::temp_directory_path() / "elderhead-lab-XXXXXX").string();
-    if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("can't make a folder like " + path);
-    path_ = path;
-  }
-  ~TemporaryFolder() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
-  }
-  const std::filesystem::path& path() const { return path_; }
-
- private:
-  std::filesystem::path path_;
-};
-
 // All parties of one play of one variant.
 class Stage {
  public:
-  Stage(const Experiment& experiment, std::string variant, std::string command, std::uint64_t seed,
-        const std::string& logs, bool progress)
+  Stage(const Experiment& experiment, std::string variant, std::string command, const std::string& self,
+        std::uint64_t seed, const std::string& logs, bool progress)
       : e_(experiment),
         progress_(progress),
         direct_(variant == "direct"),
@@ -91,9 +72,25 @@
     for (int h = 0; h < hosts_->count(); ++h) {
       members.push_back({fmt::format("s-{:04x}", h), hosts_->zone(h), hosts_->kind(h).name, "up", 1.0, 0, 1});
     }
+    if (!direct_ && e_.fleet.registry) {
+      std::vector<registry::Member> listed;
+      for (int h = 0; h < hosts_->count(); ++h) {
+        registry::Member& m = listed.emplace_back();
+        m.id = members[static_cast<std::size_t>(h)].id;
+        m.address = Addresses::Text(addresses_.Host(0, h));
+        m.zone = hosts_->zone(h);
+        m.kind = hosts_->kind(h).name;
+      }
+      registry_ = std::make_unique<RegistryProcess>(
+          RegistryProcess::Setting{io_, addresses_.Registry(), self, folder_.path(),
+                                   logs.empty() ? "/dev/null" : logs + "/registry.log", e_.fleet.lease_term,
+                                   e_.fleet.lease_grace, [this](const std::string& what) { Note(what); }},
+          std::move(listed));
+    }
     list_ = std::make_unique<ListService>(
         ListService::Setting{io_, addresses_, direct_ ? 0 : gateways, e_.fleet.list_delay,
-                             [this](int g) { return list_links_[static_cast<std::size_t>(g)].get(); }},
+                             [this](int g) { return list_links_[static_cast<std::size_t>(g)].get(); },
+                             registry_.get()},
         std::move(members));
     if (!direct_ && e_.fleet.peers) peers_ = std::make_unique<PeerNet>(io_, addresses_, gateways, seed);
     if (!direct_) {
@@ -118,10 +115,12 @@
   Play Run() {
     began_ = Now();
     cpu_before_ = OwnCpu();
-    if (gateways_) gateways_->StartAll();
+    if (registry_) registry_->Start();
+    if (gateways_ && !registry_) StartGateways();
     Tick();
     io_.run();
     if (gateways_) gateways_->EndAll();
+    if (registry_) registry_->EndAll();
     Write();
     return std::move(play_);
   }
@@ -131,6 +130,22 @@
     play_.events.emplace_back(start_ < 0 ? Now() - began_ - 1e6 : Now() - start_, what);
   }
 
+  void StartGateways() {
+    gateways_started_ = true;
+    gateways_->StartAll();
+  }
+
+  // How long any gateway has not had the newest list, counted from the end of the last fault that kept it
+  // from it.
+  void WatchLists(Millis now) {
+    if (!registry_ || start_ < 0 || now < start_ + e_.traffic.warm_up || list_faults_ > 0 || !registry_->up())
+      return;
+    for (int g = 0; g < gateways_->count(); ++g) {
+      if (list_->Passed(g) >= registry_->newest() || gateways_->Excused(g, now)) continue;
+      list_lag_ = std::max(list_lag_, now - std::max(registry_->newest_at(), list_well_at_));
+    }
+  }
+
   void End(const std::string& failure) {
     play_.failure = failure;
     io_.stop();
@@ -144,8 +159,13 @@
       return End(fmt::format("not over within {:g} s: {} requests were still out", e_.ends_within / 1000,
                              clients_->waiting()));
     }
+    WatchLists(now);
     if (start_ < 0) {
-      if (!gateways_ || gateways_->AllReady()) {
+      if (registry_ && !gateways_started_) {
+        if (registry_->ready()) StartGateways();
+        if (now > began_ + e_.fleet.ready_within)
+          return End("the list service did not take all hosts in time");
+      } else if (!gateways_ || gateways_->AllReady()) {
         Begin(now + kFirst);
       } else if (now > began_ + e_.fleet.ready_within) {
         return End(gateways_->NotReady() + fmt::format(" after {:g} s", e_.fleet.ready_within / 1000));
@@ -225,6 +245,7 @@
       }
     }
     if (fault.kind == FaultKind::kListDown) list_->SetDown(true);
+    StrikeList(fault, true);
     if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, true);
   }
 
@@ -259,9 +280,34 @@
       }
     }
     if (fault.kind == FaultKind::kListDown) list_->SetDown(false);
+    StrikeList(fault, false);
     if (fault.kind == FaultKind::kZoneCut) CutZone(fault.zone, false);
   }
 
+  // Faults of the list service as a process, and of the ways to it.
+  void StrikeList(const Fault& fault, bool begins) {
+    switch (fault.kind) {
+      case FaultKind::kListKill:
+        if (begins) registry_->Kill(fault.lasts);
+        break;
+      case FaultKind::kListStop: begins ? registry_->Stop() : registry_->Continue(); break;
+      case FaultKind::kListFull: registry_->SetFull(begins); break;
+      case FaultKind::kListTruncate: list_->SetTruncation(begins ? fault.size : 0); break;
+      case FaultKind::kMemberCut:
+        for (const int h : fault.hosts) registry_->CutMember(h, begins);
+        return;
+      case FaultKind::kListCut:
+        for (const int g : fault.gateways) {
+          Link& link = *list_links_[static_cast<std::size_t>(g)];
+          begins ? link.Cut(true, true) : link.Heal(true, true);
+        }
+        break;
+      default: return;
+    }
+    list_faults_ += begins ? 1 : -1;
+    list_well_at_ = Now();
+  }
+
   void Delay(int gateway, Millis more, Millis jitter) {
     for (int h = 0; h < hosts_->count(); ++h) host_links_.at({gateway, h})->AddDelay(more, jitter);
     list_links_[static_cast<std::size_t>(gateway)]->AddDelay(more, jitter);
@@ -327,6 +373,7 @@
       if (gateways_->cpu() > 0) f["core_requests_per_s"] = requests * 1000 / gateways_->cpu();
       f["rss_mb"] = gateways_->most_memory_mb();
     }
+    if (registry_) f["list_lag_ms"] = list_lag_;
     if (peers_) {
       f["peer_datagrams"] = static_cast<double>(peers_->counts().sent);
       f["peer_too_long"] = static_cast<double>(peers_->counts().too_long);
@@ -349,6 +396,7 @@
   Rules rules_;
   Recorder recorder_;
   std::unique_ptr<PeerNet> peers_;
+  std::unique_ptr<RegistryProcess> registry_;
   std::unique_ptr<ListService> list_;
   std::unique_ptr<Hosts> hosts_;
   std::unique_ptr<Gateways> gateways_;
@@ -356,6 +404,9 @@
   boost::asio::steady_timer tick_;
   Millis began_ = 0, start_ = -1, cpu_before_ = 0, progress_at_ = 0;
   std::vector<Millis> first_answers_;
+  bool gateways_started_ = false;
+  int list_faults_ = 0;  // that are on
+  Millis list_well_at_ = 0, list_lag_ = 0;
 };
 
 }  // namespace
@@ -385,7 +436,7 @@
       results.plays.push_back(Stage(name == "no_fault"   ? calm
                                     : name == "no_state" ? stateless
                                                          : experiment,
-                                    name, command, seed, logs, options.progress)
+                                    name, command, options.self, seed, logs, options.progress)
                                   .Run());
       if (interrupted) return results;
     }
--- /dev/null
+++ b/src/lab/registry_process.cpp
@@ -0,0 +1,203 @@
+#include "lab/registry_process.hpp"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "lab/addresses.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+using boost::system::error_code;
+using nlohmann::json;
+
+constexpr Millis kPatience = 1000;
+constexpr Millis kAgain = 100;  // after a call that failed
+
+std::string Post(const std::string& call, const std::string& body) {
+  return fmt::format("POST /registry/{} HTTP/1.1\r\nHost: registry\r\nContent-Length: {}\r\n\r\n{}", call,
+                     body.size(), body);
+}
+
+// Empty for a good answer, "none" where there was none.
+std::string CodeOf(const ClientConnection::Result& result, std::int64_t& revision) {
+  if (result.failure != ClientConnection::Failure::kNone) return "none";
+  const json parsed = json::parse(result.response.body(), nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object()) return "none";
+  revision = parsed.value("revision", std::int64_t{0});
+  if (result.response.result_int() == 200) return "";
+  return parsed.contains("error") ? parsed["error"].value("code", "none") : "none";
+}
+
+}  // namespace
+
+RegistryProcess::RegistryProcess(Setting setting, std::vector<registry::Member> hosts)
+    : s_(std::move(setting)), processes_(s_.io, [this](const ProcessEnd& end) { Ended(end); }) {
+  for (registry::Member& member : hosts) {
+    hosts_.push_back(std::make_unique<Host>(s_.io));
+    member.term = s_.term;
+    hosts_.back()->member = std::move(member);
+    hosts_.back()->state.Checked(true, 1);
+  }
+}
+
+void RegistryProcess::Start() {
+  const std::filesystem::path file = s_.folder / "registry.toml";
+  if (starts_++ == 0) {
+    std::filesystem::create_directories(s_.folder);
+    std::ofstream(file) << "listen = \"" << Addresses::Text(s_.address) << "\"\nstate_dir = \""
+                        << (s_.folder / "registry-state").string()
+                        << "\"\n[leases]\nterm_s = " << s_.term / 1000 << "\ngrace_s = " << s_.grace / 1000
+                        << "\n";
+    for (int h = 0; h < static_cast<int>(hosts_.size()); ++h) ActLater(h, kAgain + h);
+  }
+  ProcessSpec spec;
+  spec.command = fmt::format("{} registry serve {}", s_.program, file.string());
+  spec.log = s_.log;
+  pid_ = processes_.Start(spec);
+  stopped_ = false;
+}
+
+bool RegistryProcess::ready() const {
+  for (const auto& host : hosts_) {
+    if (!host->state.listed()) return false;
+  }
+  return true;
+}
+
+void RegistryProcess::Heard(std::int64_t revision) {
+  if (revision <= newest_) return;
+  newest_ = revision;
+  newest_at_ = Now();
+}
+
+void RegistryProcess::ActLater(int host, Millis time) {
+  At(host).timer.expires_after(Span(time));
+  At(host).timer.async_wait([this, host](error_code ec) {
+    if (!ec) Act(host);
+  });
+}
+
+void RegistryProcess::Act(int host) {
+  using Say = registry::AgentState::Say;
+  Host& h = At(host);
+  if (!h.alive || h.cut || h.calling) return;
+  const Say say = h.state.next();
+  if (say != Say::kRegister && say != Say::kRenew) return;
+  json body = {{"id", h.member.id}, {"incarnation", h.member.incarnation}};
+  if (say == Say::kRegister) {
+    body.update({{"address", h.member.address},
+                 {"zone", h.member.zone},
+                 {"kind", h.member.kind},
+                 {"cell", 0},
+                 {"term_ms", h.member.term}});
+  }
+  if (!h.connection || !h.connection->usable()) {
+    h.connection = std::make_shared<ClientConnection>(s_.io, s_.address);
+  }
+  h.calling = true;
+  h.connection->Exchange(Post(say == Say::kRegister ? "register" : "renew", body.dump()), kPatience,
+                         [this, host, say, of = h.member.incarnation](ClientConnection::Result result) {
+                           Host& it = At(host);
+                           it.calling = false;
+                           std::int64_t revision = 0;
+                           const std::string code = CodeOf(result, revision);
+                           Heard(revision);
+                           if (!it.alive || it.member.incarnation != of) return ActLater(host, kAgain);
+                           if (code == "none" || result.response.result_int() == 503)
+                             return ActLater(host, kAgain);
+                           it.state.Answered(say, code);
+                           ActLater(host, it.state.next() == Say::kRegister ? 0 : it.member.term / 3);
+                         });
+}
+
+void RegistryProcess::Insist(const std::string& call, const std::string& id, const std::string& key) {
+  const auto connection = std::make_shared<ClientConnection>(s_.io, s_.address);
+  const json body = {{"id", id}, {"by", "operator"}, {"key", key}};
+  connection->Exchange(Post(call, body.dump()), kPatience,
+                       [this, call, id, key, connection](ClientConnection::Result result) {
+                         std::int64_t revision = 0;
+                         const std::string code = CodeOf(result, revision);
+                         Heard(revision);
+                         if (code != "none" && result.response.result_int() != 503) {
+                           s_.note(fmt::format("{} of {} kept{}", call, id, code.empty() ? "" : ": " + code));
+                           return;
+                         }
+                         const auto timer = std::make_shared<boost::asio::steady_timer>(s_.io, Span(kAgain));
+                         timer->async_wait([this, timer, call, id, key](error_code ec) {
+                           if (!ec) Insist(call, id, key);
+                         });
+                       });
+}
+
+void RegistryProcess::Die(int host) {
+  At(host).alive = false;
+  At(host).connection.reset();
+}
+
+void RegistryProcess::Begin(int host, std::int64_t incarnation) {
+  Host& h = At(host);
+  h.alive = true;
+  h.member.incarnation = incarnation;
+  h.state = {};
+  h.state.Checked(true, 1);
+  ActLater(host, 0);
+}
+
+void RegistryProcess::Drain(int host) { Insist("drain", At(host).member.id, fmt::format("lab-{}", ++keys_)); }
+
+void RegistryProcess::Remove(int host) {
+  Die(host);
+  Insist("remove", At(host).member.id, fmt::format("lab-{}", ++keys_));
+}
+
+void RegistryProcess::CutMember(int host, bool cut) {
+  At(host).cut = cut;
+  if (!cut) ActLater(host, 0);
+}
+
+void RegistryProcess::Kill(Millis restart_after) {
+  expected_ = true;
+  restart_after_ = restart_after;
+  processes_.Signal(pid_, SIGKILL);
+}
+
+void RegistryProcess::Stop() {
+  stopped_ = true;
+  processes_.Signal(pid_, SIGSTOP);
+}
+
+void RegistryProcess::Continue() {
+  stopped_ = false;
+  processes_.Signal(pid_, SIGCONT);
+}
+
+void RegistryProcess::SetFull(bool full) {
+  rlimit limit{};
+  if (prlimit(pid_, RLIMIT_FSIZE, nullptr, &limit) != 0) return;
+  limit.rlim_cur = full ? 0 : limit.rlim_max;
+  prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
+void RegistryProcess::Ended(const ProcessEnd& end) {
+  const auto ms = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_usec) / 1000;
+  };
+  cpu_ += ms(end.usage.ru_utime) + ms(end.usage.ru_stime);
+  if (end.pid != pid_ || ending_) return;
+  pid_ = 0;
+  s_.note("the list service has ended with " + end.Words());
+  if (!std::exchange(expected_, false)) return;  // it is seen by what follows
+  const auto timer = std::make_shared<boost::asio::steady_timer>(s_.io, Span(restart_after_));
+  timer->async_wait([this, timer](error_code ec) {
+    if (ec || ending_) return;
+    Start();
+    s_.note("the list service is started");
+  });
+}
+
+}  // namespace elderhead::lab
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -38,6 +38,8 @@
                                         "turned_away",
                                         "host_connections",
                                         "list_calls",
+                                        "list_lag_ms",
+
                                         "unheard",
                                         "excused",
                                         "peer_datagrams",
--- /dev/null
+++ b/src/lab/temporary_folder.hpp
@@ -0,0 +1,33 @@
+// A folder that goes with its owner.
+#ifndef ELDERHEAD_LAB_TEMPORARY_FOLDER_HPP_
+#define ELDERHEAD_LAB_TEMPORARY_FOLDER_HPP_
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <stdexcept>
+#include <string>
+
+namespace elderhead::lab {
+
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string path = (std::filesystem::temp_directory_path() / "elderhead-lab-XXXXXX").string();
+    if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("can't make a folder like " + path);
+    path_ = path;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_TEMPORARY_FOLDER_HPP_
