One piece of code where the list service's parts had several

Need: a read of the whole change found the same logic written again: addresses were parsed in four places, two of them by atoi; a call to the list service and its answer were put together and taken apart in five; the look at another service read answers without the check of their length that the watch has; a refused batch was answered in three loops; figures and members nobody read.

Change: base::ParseEndpoint; form has the caller's end of its calls beside the service's, with a test that one reads what the other writes; Discovery has one Exchange for watch and look; Service::Refuse and TurnAway; Catalog::Knows. An address with letters behind its port, taken for the number before, is refused.

--- a/src/cli/registry.cpp
+++ b/src/cli/registry.cpp
@@ -1,23 +1,21 @@
 #include "cli/registry.hpp"
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
 #include <fstream>
-#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
-#include <thread>
 
+#include "base/endpoint.hpp"
 #include "base/http_client.hpp"
-#include "gateway/discovery.hpp"
 #include "registry/agent.hpp"
+#include "registry/form.hpp"
 #include "registry/service.hpp"
 
 namespace elderhead::cli {
@@ -25,7 +23,6 @@
 
 using nlohmann::json;
 using nlohmann::ordered_json;
-using tcp = boost::asio::ip::tcp;
 
 constexpr int kDone = 0, kRefused = 1, kWrongUse = 2, kNoAnswer = 3;
 constexpr const char* kCodes =
@@ -45,7 +42,7 @@
 struct Options {
   std::vector<std::string> services{"127.0.0.1:8500"};
   bool json = false;
-  std::string file, id, key, name;
+  std::string file, id, key;
   std::vector<std::string> files;
   std::string address, zone, kind, version;
   double size = 1, term_s = 0, seconds = 0;
@@ -61,7 +58,7 @@
 Answer Ask(const Options& o, const std::string& method, const std::string& target,
            const std::string& body = "", double patience = 5000) {
   for (const std::string& service : o.services) {
-    const auto to = opalswitch::gateway::ParseEndpoint(service);
+    const auto to = base::ParseEndpoint(service);
     if (!to || to->port() == 0) {
       throw std::invalid_argument("'" + service + "' is not an address and port, such as 127.0.0.1:8500");
     }
@@ -83,29 +80,32 @@
   return {};
 }
 
-int Write(const Options& o, const std::string& name, json body) {
-  body["by"] = "operator";
-  body["id"] = o.id;
-  body["key"] = o.key.empty() ? "cli-" + RandomWord() : o.key;
-  if (o.if_revision >= 0) body["if_revision"] = o.if_revision;
-  if (o.if_incarnation >= 0) body["if_incarnation"] = o.if_incarnation;
-  const Answer answer = Ask(o, "POST", "/registry/" + name, body.dump());
+int Write(const Options& o, registry::Command command) {
+  const std::string name = NameOf(command.action);
+  command.by_operator = true;
+  command.key = o.key.empty() ? "cli-" + RandomWord() : o.key;
+  if (o.if_revision >= 0) command.if_revision = o.if_revision;
+  if (o.if_incarnation >= 0) command.if_incarnation = o.if_incarnation;
+  const Answer answer = Ask(o, "POST", "/registry/" + name, ToBody(command));
   if (answer.status == 0) return kNoAnswer;
-  const json parsed = json::parse(answer.body, nullptr, false);
+  const registry::Outcome outcome = registry::ParseOutcome(answer.status, answer.body);
   if (o.json) {
     fmt::print("{}\n", answer.body);
-  } else if (answer.status == 200) {
-    fmt::print("{} {}: {}\n", name, o.id,
-               parsed.value("changed", false) ? fmt::format("revision {}", parsed.value("revision", 0LL))
-                                              : std::string("nothing had to change"));
+  } else if (outcome.ok()) {
+    fmt::print("{} {}: {}\n", name, command.member.id,
+               outcome.changed ? fmt::format("revision {}", outcome.revision) : "nothing had to change");
+  } else {
+    fmt::print(stderr, "elderhead: {} {}: {} ({})\n", name, command.member.id, outcome.text, outcome.code);
   }
-  if (answer.status == 200) return kDone;
-  if (!o.json) {
-    const json error = parsed.is_object() ? parsed.value("error", json::object()) : json::object();
-    fmt::print(stderr, "elderhead: {} {}: {} ({})\n", name, o.id, error.value("message", "status not 200"),
-               error.value("code", std::to_string(answer.status)));
-  }
-  return kRefused;
+  return outcome.ok() ? kDone : kRefused;
+}
+
+int Write(const Options& o, registry::Action action) {
+  registry::Command command;
+  command.action = action;
+  command.member.id = o.id;
+  command.member.size = o.size;
+  return Write(o, std::move(command));
 }
 
 std::string Flags(const json& m) {
@@ -201,7 +201,7 @@
 
 // Lists in the published form, or what `elderhead state export` prints of a gateway's folder: of each member
 // what the newest list says.
-int Restore(Options o) {
+int Restore(const Options& o) {
   std::map<std::string, std::pair<registry::Revision, registry::Member>> newest;
   for (const std::string& file : o.files) {
     std::ifstream stream(file);
@@ -223,19 +223,13 @@
   }
   int code = kDone;
   for (const auto& [id, entry] : newest) {
-    const registry::Member& m = entry.second;
-    o.id = id;
-    json body = {{"address", m.address},
-                 {"zone", m.zone},
-                 {"kind", m.kind},
-                 {"size", m.size},
-                 {"incarnation", m.incarnation},
-                 {"term_ms", o.term_s * 1000},
-                 {"version", m.version}};
-    if (!m.cell.empty()) body["cell"] = json::parse(m.cell, nullptr, false);
-    code = std::max(code, Write(o, "register", body));
+    registry::Command command;
+    command.member = entry.second;
+    command.member.term = o.term_s * 1000;
+    code = std::max(code, Write(o, command));
     if (code == kNoAnswer) return code;
-    if (m.draining) code = std::max(code, Write(o, "drain", json::object()));
+    command.action = registry::Action::kDrain;
+    if (entry.second.draining) code = std::max(code, Write(o, command));
   }
   fmt::print("{} members from {} lists\n", newest.size(), o.files.size());
   return code;
@@ -328,14 +322,20 @@
   watch->add_option("--for", o->seconds, "Seconds; else for ever");
   reach(add("status", "Tells how the service does", "status", [o] { return Status(*o); }));
 
-  CLI::App* const enter = conditions(
-      reach(add("register", "Lists a member, or changes what is said of it",
-                "register web-1 --address 10.1.0.18:3000", [o] {
-                  json body = {{"address", o->address}, {"zone", o->zone}, {"kind", o->kind},
-                               {"version", o->version}, {"size", o->size}, {"term_ms", o->term_s * 1000}};
-                  if (o->incarnation >= 0) body["incarnation"] = o->incarnation;
-                  return Write(*o, "register", body);
-                })));
+  CLI::App* const enter = conditions(reach(add("register", "Lists a member, or changes what is said of it",
+                                               "register web-1 --address 10.1.0.18:3000", [o] {
+                                                 registry::Command command;
+                                                 command.member.id = o->id;
+                                                 command.member.address = o->address;
+                                                 command.member.zone = o->zone;
+                                                 command.member.kind = o->kind;
+                                                 command.member.version = o->version;
+                                                 command.member.size = o->size;
+                                                 command.member.term = o->term_s * 1000;
+                                                 command.member.incarnation =
+                                                     std::max<std::int64_t>(0, o->incarnation);
+                                                 return Write(*o, std::move(command));
+                                               })));
   enter->add_option("--address", o->address, "Where it serves")->required();
   enter->add_option("--zone", o->zone, "Its zone");
   enter->add_option("--kind", o->kind, "Its kind of machine");
@@ -345,14 +345,13 @@
   enter->add_option("--term", o->term_s, "Seconds of its lease; 0: until it is removed")
       ->capture_default_str();
   conditions(reach(add("drain", "Takes a member out of new traffic", "drain web-1",
-                       [o] { return Write(*o, "drain", json::object()); })));
+                       [o] { return Write(*o, registry::Action::kDrain); })));
   conditions(reach(add("undrain", "Ends a drain of operators", "undrain web-1",
-                       [o] { return Write(*o, "undrain", json::object()); })));
+                       [o] { return Write(*o, registry::Action::kUndrain); })));
   conditions(reach(add("remove", "Takes a member off the list, confirmed by you", "remove web-1",
-                       [o] { return Write(*o, "remove", json::object()); })));
-  CLI::App* const size = conditions(reach(add("size", "Sets a member's relative size", "size web-1 0.5", [o] {
-    return Write(*o, "size", {{"size", o->size}});
-  })));
+                       [o] { return Write(*o, registry::Action::kRemove); })));
+  CLI::App* const size = conditions(reach(add("size", "Sets a member's relative size", "size web-1 0.5",
+                                              [o] { return Write(*o, registry::Action::kSetSize); })));
   size->add_option("SIZE", o->size, "Relative to others")->required();
   CLI::App* const restore =
       reach(add("restore", "Seeds a service that lost its disk from the gateways' lists",
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -5,7 +5,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -59,18 +58,6 @@
 
 }  // namespace
 
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  error_code ec;
-  const auto address = asio::ip::make_address(text.substr(0, colon), ec);
-  std::uint16_t port = 0;
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
-  if (ec || error != std::errc() || end != last) return std::nullopt;
-  return tcp::endpoint(address, port);
-}
-
 std::optional<HostList> ParseHostList(std::string_view text) {
   try {
     const json parsed = json::parse(text);
@@ -117,7 +104,10 @@
 
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
 struct Discovery::Call {
-  explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
+  Call(asio::io_context& io, const tcp::endpoint& at) : timer(io), request(http::verb::get, "", 11) {
+    parser.body_limit(kMostList);
+    request.set(http::field::host, at.address().to_string());
+  }
   Millis begun = Now();
   asio::steady_timer timer;
   http::request<http::empty_body> request;
@@ -159,7 +149,7 @@
 }
 
 void Discovery::Ask() {
-  const auto call = call_ = std::make_shared<Call>(io_);
+  const auto call = call_ = std::make_shared<Call>(io_, address());
   const bool fresh = socket_ == nullptr;
   call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
   call->timer.async_wait([this, call](error_code ec) {
@@ -179,24 +169,28 @@
 }
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
-  call->request.method(http::verb::get);
   call->request.target(Target(kWait));
-  call->request.set(http::field::host, address().address().to_string());
-  http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
+  Exchange(socket_, call, [this, call](const std::string& why) {
     if (call != call_) return;
-    if (ec) return Fail(call, ec.message());
-    // The head first, as in the pool: else Boost 1.74 lets any length pass.
+    if (!why.empty()) return Fail(call, why);
+    Answered(call);
+  });
+}
+
+// `done` is told why there is no whole answer; nothing if there is. The head is read first, as in the pool:
+// else Boost 1.74 lets any length pass.
+void Discovery::Exchange(const std::shared_ptr<tcp::socket>& socket, const std::shared_ptr<Call>& call,
+                         std::function<void(const std::string& why)> done) {
+  http::async_write(*socket, call->request, [socket, call, done](error_code write_ec, std::size_t) {
+    if (write_ec) return done(write_ec.message());
     http::async_read_header(*socket, call->buffer, call->parser,
-                            [this, call, socket](error_code head_ec, std::size_t) {
-                              if (call != call_) return;
-                              if (head_ec) return Fail(call, head_ec.message());
+                            [socket, call, done](error_code head_ec, std::size_t) {
+                              if (head_ec) return done(head_ec.message());
                               if (call->parser.content_length().value_or(0) > kMostList)
-                                return Fail(call, "too long a list");
+                                return done("too long a list");
                               http::async_read(*socket, call->buffer, call->parser,
-                                               [this, call, socket](error_code read_ec, std::size_t) {
-                                                 if (call != call_) return;
-                                                 if (read_ec) return Fail(call, read_ec.message());
-                                                 Answered(call);
+                                               [socket, call, done](error_code read_ec, std::size_t) {
+                                                 done(read_ec ? read_ec.message() : "");
                                                });
                             });
   });
@@ -302,37 +296,22 @@
 }
 
 // One call that waits for nothing, on a connection of its own; it tells nothing to anyone else.
-struct Discovery::Look {
-  explicit Look(asio::io_context& io) : socket(io), timer(io) { parser.body_limit(kMostList); }
-  tcp::socket socket;
-  asio::steady_timer timer;
-  http::request<http::empty_body> request;
-  http::response_parser<http::string_body> parser;
-  boost::beast::flat_buffer buffer;
-};
-
 void Discovery::LookAt(std::size_t service) {
-  const auto look = std::make_shared<Look>(io_);
-  look->timer.expires_after(Span(kDial));
-  look->timer.async_wait([look](error_code ec) {
+  const auto call = std::make_shared<Call>(io_, addresses_[service]);
+  const auto socket = std::make_shared<tcp::socket>(io_);
+  call->timer.expires_after(Span(kDial));
+  call->timer.async_wait([socket](error_code ec) {
     error_code ignored;
-    if (!ec) look->socket.close(ignored);
+    if (!ec) socket->close(ignored);
   });
-  look->request.method(http::verb::get);
-  look->request.target(Target(0));
-  look->request.set(http::field::host, addresses_[service].address().to_string());
-  look->request.keep_alive(false);
-  look->socket.async_connect(addresses_[service], [this, look, service](error_code connect_ec) {
-    if (connect_ec) return look->timer.cancel(), void();
-    http::async_write(look->socket, look->request, [this, look, service](error_code write_ec, std::size_t) {
-      if (write_ec) return look->timer.cancel(), void();
-      http::async_read(look->socket, look->buffer, look->parser,
-                       [this, look, service](error_code read_ec, std::size_t) {
-                         look->timer.cancel();
-                         if (read_ec || look->parser.get().result() != http::status::ok) return;
-                         if (const auto list = ParseHostList(look->parser.get().body()))
-                           Looked(service, *list);
-                       });
+  call->request.target(Target(0));
+  call->request.keep_alive(false);
+  socket->async_connect(addresses_[service], [this, call, socket, service](error_code ec) {
+    if (ec) return call->timer.cancel(), void();
+    Exchange(socket, call, [this, call, service](const std::string& why) {
+      call->timer.cancel();
+      if (!why.empty() || call->parser.get().result() != http::status::ok) return;
+      if (const auto list = ParseHostList(call->parser.get().body())) Looked(service, *list);
     });
   });
 }
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/endpoint.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -32,8 +33,8 @@
   std::int64_t confirmed = 0;  // revision of the last removal by operators' word
 };
 
-// "10.1.0.18:3000"; nothing if it is anything else.
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
+using elderhead::base::ParseEndpoint;
+
 // Nothing if the text is broken in any part: half a list must not pass for a whole one.
 std::optional<HostList> ParseHostList(std::string_view text);
 // The same form.
@@ -75,7 +76,6 @@
 
  private:
   struct Call;
-  struct Look;
   const boost::asio::ip::tcp::endpoint& address() const { return addresses_[at_]; }
   std::string Target(Millis wait) const;
   bool IsOlder(const HostList& list) const;
@@ -86,6 +86,8 @@
   void Looked(std::size_t service, const HostList& list);
   void Ask();
   void Connected(const std::shared_ptr<Call>& call);
+  static void Exchange(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket,
+                       const std::shared_ptr<Call>& call, std::function<void(const std::string& why)> done);
   void Answered(const std::shared_ptr<Call>& call);
   void Fail(const std::shared_ptr<Call>& call, const std::string& why);
   void Say(const Call& call, const std::string& what, bool failed);
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -80,6 +80,7 @@
         m.address = Addresses::Text(addresses_.Host(0, h));
         m.zone = hosts_->zone(h);
         m.kind = hosts_->kind(h).name;
+        m.cell = "0";
       }
       registry_ = std::make_unique<RegistryProcess>(
           RegistryProcess::Setting{io_, addresses_.Registry(), self, folder_.path(),
--- a/src/lab/registry_load.cpp
+++ b/src/lab/registry_load.cpp
@@ -4,9 +4,9 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -17,6 +17,7 @@
 #include "lab/http.hpp"
 #include "lab/processes.hpp"
 #include "lab/temporary_folder.hpp"
+#include "registry/form.hpp"
 #include "store/file_system.hpp"
 
 namespace elderhead::lab {
@@ -29,10 +30,7 @@
 constexpr Millis kChangeEvery = 100;
 constexpr Millis kSetUp = 120000;  // longest for any step
 
-std::string Request(const std::string& method, const std::string& target, const std::string& body = "") {
-  return fmt::format("{} {} HTTP/1.1\r\nHost: r\r\nContent-Length: {}\r\n\r\n{}", method, target, body.size(),
-                     body);
-}
+std::string ReadOf(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: r\r\n\r\n"; }
 
 class Measurement {
  public:
@@ -45,7 +43,7 @@
     Start();
     // All register at once.
     Millis begun = Now();
-    WriteMany(load_.members, [this](int i) { return std::pair<std::string, json>("register", Member(i)); });
+    WriteMany(load_.members, [this](int i) { return Register(i); });
     f_["register_all_s"] = (Now() - begun) / 1000;
     Renew();
     const double rss_before = Rss();
@@ -57,9 +55,7 @@
     watchers_.clear();
     const auto syncs_before = Metric("syncs_total"), writes_before = Metric("writes_total");
     begun = Now();
-    WriteMany(load_.history, [this](int i) {
-      return std::pair<std::string, json>("size", {{"id", Id(i % load_.members)}, {"size", 1 + i % 7}});
-    });
+    WriteMany(load_.history, [this](int i) { return Change(registry::Action::kSetSize, i); });
     const double seconds = (Now() - begun) / 1000, syncs = Metric("syncs_total") - syncs_before;
     f_["writes_per_s"] = load_.history / seconds;
     f_["writes_per_disk_sync"] = load_.history / seconds / sync_rate;
@@ -79,13 +75,23 @@
 
  private:
   std::string Id(int i) const { return fmt::format("m-{:05d}", i); }
-  json Member(int i) const {
-    return {{"id", Id(i)},
-            {"address", fmt::format("10.{}.{}.{}:3000", 1 + i / 62500, i / 250 % 250, 1 + i % 250)},
-            {"zone", std::string(1, static_cast<char>('a' + i % 3))},
-            {"kind", "standard"},
-            {"incarnation", 1},
-            {"term_ms", load_.term}};
+  registry::Command Register(int i) const {
+    registry::Command command;
+    command.member.id = Id(i);
+    command.member.address = fmt::format("10.{}.{}.{}:3000", 1 + i / 62500, i / 250 % 250, 1 + i % 250);
+    command.member.zone = std::string(1, static_cast<char>('a' + i % 3));
+    command.member.kind = "standard";
+    command.member.incarnation = 1;
+    command.member.term = load_.term;
+    return command;
+  }
+  registry::Command Change(registry::Action action, int i) const {
+    registry::Command command;
+    command.action = action;
+    command.member.id = Id(i % load_.members);
+    command.member.size = 1 + i % 7;
+    command.by_operator = true;
+    return command;
   }
 
   // Records as large as the service's, one sync each, for a second.
@@ -120,11 +126,10 @@
     while (!up && Now() < until) {
       const auto connection = std::make_shared<ClientConnection>(io_, addresses_.Registry());
       bool done = false;
-      connection->Exchange(
-          Request("GET", "/registry/status"), kPatience, [&](ClientConnection::Result result) {
-            done = true;
-            up = result.failure == ClientConnection::Failure::kNone && result.response.result_int() == 200;
-          });
+      connection->Exchange(ReadOf("/registry/status"), kPatience, [&](ClientConnection::Result result) {
+        done = true;
+        up = result.failure == ClientConnection::Failure::kNone && result.response.result_int() == 200;
+      });
       RunUntil([&] { return done; });
     }
     if (!up) throw std::runtime_error("the list service does not answer");
@@ -142,7 +147,7 @@
   std::string Get(const std::string& target) {
     std::optional<std::string> body;
     std::make_shared<ClientConnection>(io_, addresses_.Registry())
-        ->Exchange(Request("GET", target), kPatience,
+        ->Exchange(ReadOf(target), kPatience,
                    [&](ClientConnection::Result result) { body = result.response.body(); });
     RunUntil([&] { return body.has_value(); });
     return *body;
@@ -172,14 +177,11 @@
     int next = 0, done = 0, failed = 0;
     std::function<void(std::shared_ptr<ClientConnection>)> write = [&](std::shared_ptr<ClientConnection> on) {
       if (next >= count) return;
-      const auto [call, body] = make(next++);
-      on->Exchange(Request("POST", "/registry/" + call, body.dump()), kPatience,
-                   [&, on](ClientConnection::Result result) {
-                     ++done;
-                     failed += result.failure != ClientConnection::Failure::kNone ||
-                               result.response.result_int() != 200;
-                     if (on->usable()) write(on);
-                   });
+      on->Exchange(ToRequest(make(next++)), kPatience, [&, on](ClientConnection::Result result) {
+        ++done;
+        failed += result.failure != ClientConnection::Failure::kNone || result.response.result_int() != 200;
+        if (on->usable()) write(on);
+      });
     };
     for (int i = 0; i < std::min(load_.writers, count); ++i) {
       write(std::make_shared<ClientConnection>(io_, addresses_.Registry()));
@@ -203,8 +205,7 @@
         continue;
       }
       if (!on || !on->usable()) on = std::make_shared<ClientConnection>(io_, addresses_.Registry());
-      const json body = {{"id", Id(next_renewal_++ % load_.members)}, {"incarnation", 1}};
-      on->Exchange(Request("POST", "/registry/renew", body.dump()), kPatience,
+      on->Exchange(ToRequest(registry::Renewal{Id(next_renewal_++ % load_.members), 1}), kPatience,
                    [&](ClientConnection::Result result) {
                      busy = false;
                      renewals_failed_ += renewing_ && (result.failure != ClientConnection::Failure::kNone ||
@@ -228,7 +229,7 @@
 
   void Wait(int watcher, std::int64_t after) {
     watchers_[static_cast<std::size_t>(watcher)]->Exchange(
-        Request("GET", fmt::format("/discovery/hosts?after={}&wait_ms=60000", after)), 70000,
+        ReadOf(fmt::format("/discovery/hosts?after={}&wait_ms=60000", after)), 70000,
         [this, watcher, after](ClientConnection::Result result) {
           if (!watching_) return;
           if (result.failure != ClientConnection::Failure::kNone) return void(++watch_failures_);
@@ -250,8 +251,7 @@
       told_ = 0;
       answered_at_ = 0;
       early_.clear();
-      const json body = {{"id", Id(i % load_.members)}, {"by", "operator"}};
-      writer->Exchange(Request("POST", "/registry/drain", body.dump()), kPatience,
+      writer->Exchange(ToRequest(Change(registry::Action::kDrain, i)), kPatience,
                        [this](ClientConnection::Result) {
                          answered_at_ = Now();  // at the writer, which is told as the sync is done
                          for (const Millis at : early_)
--- a/src/lab/registry_process.cpp
+++ b/src/lab/registry_process.cpp
@@ -5,32 +5,27 @@
 #include <sys/resource.h>
 
 #include <fstream>
-#include <nlohmann/json.hpp>
 
 #include "lab/addresses.hpp"
+#include "registry/form.hpp"
 
 namespace elderhead::lab {
 namespace {
 
 using boost::system::error_code;
-using nlohmann::json;
 
 constexpr Millis kPatience = 1000;
 constexpr Millis kAgain = 100;  // after a call that failed
 
-std::string Post(const std::string& call, const std::string& body) {
-  return fmt::format("POST /registry/{} HTTP/1.1\r\nHost: registry\r\nContent-Length: {}\r\n\r\n{}", call,
-                     body.size(), body);
+// "none" where there was no answer.
+registry::Outcome OutcomeOf(const ClientConnection::Result& result) {
+  if (result.failure != ClientConnection::Failure::kNone) return {"none", "", ""};
+  return registry::ParseOutcome(result.response.result_int(), result.response.body());
 }
 
-// Empty for a good answer, "none" where there was none.
-std::string CodeOf(const ClientConnection::Result& result, std::int64_t& revision) {
-  if (result.failure != ClientConnection::Failure::kNone) return "none";
-  const json parsed = json::parse(result.response.body(), nullptr, /*allow_exceptions=*/false);
-  if (!parsed.is_object()) return "none";
-  revision = parsed.value("revision", std::int64_t{0});
-  if (result.response.result_int() == 200) return "";
-  return parsed.contains("error") ? parsed["error"].value("code", "none") : "none";
+// Nothing is known of it, or the service can't now.
+bool ToBeRepeated(const registry::Outcome& outcome) {
+  return outcome.code == "none" || outcome.code == "unreadable" || registry::StatusOf(outcome) == 503;
 }
 
 }  // namespace
@@ -88,52 +83,53 @@
   if (!h.alive || h.cut || h.calling) return;
   const Say say = h.state.next();
   if (say != Say::kRegister && say != Say::kRenew) return;
-  json body = {{"id", h.member.id}, {"incarnation", h.member.incarnation}};
-  if (say == Say::kRegister) {
-    body.update({{"address", h.member.address},
-                 {"zone", h.member.zone},
-                 {"kind", h.member.kind},
-                 {"cell", 0},
-                 {"term_ms", h.member.term}});
-  }
+  registry::Command enter;
+  enter.member = h.member;
   if (!h.connection || !h.connection->usable()) {
     h.connection = std::make_shared<ClientConnection>(s_.io, s_.address);
   }
   h.calling = true;
-  h.connection->Exchange(Post(say == Say::kRegister ? "register" : "renew", body.dump()), kPatience,
-                         [this, host, say, of = h.member.incarnation](ClientConnection::Result result) {
-                           Host& it = At(host);
-                           it.calling = false;
-                           std::int64_t revision = 0;
-                           const std::string code = CodeOf(result, revision);
-                           Heard(revision);
-                           if (!it.alive || it.member.incarnation != of) return ActLater(host, kAgain);
-                           if (code == "none" || result.response.result_int() == 503)
-                             return ActLater(host, kAgain);
-                           it.state.Answered(say, code);
-                           ActLater(host, it.state.next() == Say::kRegister ? 0 : it.member.term / 3);
-                         });
-}
-
-void RegistryProcess::Insist(const std::string& call, const std::string& id, const std::string& key) {
+  h.connection->Exchange(
+      say == Say::kRegister ? ToRequest(enter)
+                            : ToRequest(registry::Renewal{h.member.id, h.member.incarnation}),
+      kPatience, [this, host, say, of = h.member.incarnation](ClientConnection::Result result) {
+        Host& it = At(host);
+        it.calling = false;
+        const registry::Outcome outcome = OutcomeOf(result);
+        Heard(outcome.revision);
+        if (!it.alive || it.member.incarnation != of || ToBeRepeated(outcome)) return ActLater(host, kAgain);
+        it.state.Answered(say, outcome.code);
+        ActLater(host, it.state.next() == Say::kRegister ? 0 : it.member.term / 3);
+      });
+}
+
+void RegistryProcess::Insist(registry::Command command) {
+  command.by_operator = true;
   const auto connection = std::make_shared<ClientConnection>(s_.io, s_.address);
-  const json body = {{"id", id}, {"by", "operator"}, {"key", key}};
-  connection->Exchange(Post(call, body.dump()), kPatience,
-                       [this, call, id, key, connection](ClientConnection::Result result) {
-                         std::int64_t revision = 0;
-                         const std::string code = CodeOf(result, revision);
-                         Heard(revision);
-                         if (code != "none" && result.response.result_int() != 503) {
-                           s_.note(fmt::format("{} of {} kept{}", call, id, code.empty() ? "" : ": " + code));
+  connection->Exchange(ToRequest(command), kPatience,
+                       [this, command, connection](ClientConnection::Result result) {
+                         const registry::Outcome outcome = OutcomeOf(result);
+                         Heard(outcome.revision);
+                         if (!ToBeRepeated(outcome)) {
+                           s_.note(fmt::format("{} of {} kept{}", NameOf(command.action), command.member.id,
+                                               outcome.ok() ? "" : ": " + outcome.code));
                            return;
                          }
                          const auto timer = std::make_shared<boost::asio::steady_timer>(s_.io, Span(kAgain));
-                         timer->async_wait([this, timer, call, id, key](error_code ec) {
-                           if (!ec) Insist(call, id, key);
+                         timer->async_wait([this, timer, command](error_code ec) {
+                           if (!ec) Insist(command);
                          });
                        });
 }
 
+void RegistryProcess::Insist(registry::Action action, int host) {
+  registry::Command command;
+  command.action = action;
+  command.member.id = At(host).member.id;
+  command.key = fmt::format("lab-{}", ++keys_);
+  Insist(std::move(command));
+}
+
 void RegistryProcess::Die(int host) {
   At(host).alive = false;
   At(host).connection.reset();
@@ -148,11 +144,11 @@
   ActLater(host, 0);
 }
 
-void RegistryProcess::Drain(int host) { Insist("drain", At(host).member.id, fmt::format("lab-{}", ++keys_)); }
+void RegistryProcess::Drain(int host) { Insist(registry::Action::kDrain, host); }
 
 void RegistryProcess::Remove(int host) {
   Die(host);
-  Insist("remove", At(host).member.id, fmt::format("lab-{}", ++keys_));
+  Insist(registry::Action::kRemove, host);
 }
 
 void RegistryProcess::CutMember(int host, bool cut) {
@@ -184,10 +180,6 @@
 }
 
 void RegistryProcess::Ended(const ProcessEnd& end) {
-  const auto ms = [](const timeval& t) {
-    return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_usec) / 1000;
-  };
-  cpu_ += ms(end.usage.ru_utime) + ms(end.usage.ru_stime);
   if (end.pid != pid_ || ending_) return;
   pid_ = 0;
   s_.note("the list service has ended with " + end.Words());
--- a/src/lab/registry_process.hpp
+++ b/src/lab/registry_process.hpp
@@ -54,12 +54,10 @@
   Millis newest_at() const { return newest_at_; }
   void Heard(std::int64_t revision);
   bool up() const { return pid_ != 0 && !stopped_; }
-  int starts() const { return starts_; }
   void EndAll() {
     ending_ = true;
     processes_.EndAll();
   }
-  Millis cpu() const { return cpu_; }
 
  private:
   struct Host {
@@ -68,13 +66,14 @@
     registry::AgentState state;
     std::shared_ptr<ClientConnection> connection;
     boost::asio::steady_timer timer;
-    bool alive = true, cut = false, calling = false, was_listed = false;
+    bool alive = true, cut = false, calling = false;
   };
   Host& At(int host) { return *hosts_[static_cast<std::size_t>(host)]; }
   void Act(int host);
   void ActLater(int host, Millis time);
   // An operator's call, again until the service has answered it.
-  void Insist(const std::string& call, const std::string& id, const std::string& key);
+  void Insist(registry::Command command);
+  void Insist(registry::Action action, int host);
   void Ended(const ProcessEnd& end);
 
   Setting s_;
@@ -82,7 +81,7 @@
   pid_t pid_ = 0;
   int starts_ = 0, keys_ = 0;
   bool stopped_ = false, expected_ = false, ending_ = false;
-  Millis restart_after_ = 0, newest_at_ = 0, cpu_ = 0;
+  Millis restart_after_ = 0, newest_at_ = 0;
   std::int64_t newest_ = 0;
   Processes processes_;
 };
--- a/src/registry/agent.cpp
+++ b/src/registry/agent.cpp
@@ -6,8 +6,10 @@
 #include <nlohmann/json.hpp>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/log.hpp"
 #include "base/toml_reader.hpp"
+#include "registry/form.hpp"
 
 namespace elderhead::registry {
 namespace {
@@ -23,12 +25,9 @@
 constexpr Millis kFirstWait = 200;  // after a failed call; doubles up to a third of the term
 
 tcp::endpoint ReadEndpoint(base::TomlTable& t, const std::string& key, const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  error_code ec;
-  const auto address = boost::asio::ip::make_address(text.substr(0, colon), ec);
-  const int port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
-  if (ec || port < 1 || port > 65535) t.Fail(key, "'" + text + "' is not an address and port");
-  return {address, static_cast<std::uint16_t>(port)};
+  const auto endpoint = base::ParseEndpoint(text);
+  if (!endpoint || endpoint->port() == 0) t.Fail(key, "'" + text + "' is not an address and port");
+  return *endpoint;
 }
 
 const char* Words(AgentState::Say say) {
@@ -54,7 +53,7 @@
   if (!m) t.Fail("member", "is missing");
   o.member.id = m->Text("id");
   o.member.address = m->Text("address");
-  ReadEndpoint(*m, "address", o.member.address);
+  o.at = ReadEndpoint(*m, "address", o.member.address);
   o.member.zone = m->Text("zone", "");
   o.member.kind = m->Text("kind", "");
   o.member.version = m->Text("version", "");
@@ -132,11 +131,8 @@
       if (!ec) Check();
     });
   };
-  const std::size_t colon = options_.member.address.rfind(':');
-  const tcp::endpoint at(boost::asio::ip::make_address(options_.member.address.substr(0, colon)),
-                         static_cast<std::uint16_t>(std::atoi(options_.member.address.c_str() + colon + 1)));
   if (!options_.check.empty()) {
-    if (!server_ || !server_->usable()) server_ = std::make_shared<base::ClientConnection>(io_, at);
+    if (!server_ || !server_->usable()) server_ = std::make_shared<base::ClientConnection>(io_, options_.at);
     server_->Exchange("GET " + options_.check + " HTTP/1.1\r\nHost: localhost\r\n\r\n",
                       options_.check_patience, [checked](base::ClientConnection::Result result) {
                         checked(result.failure == base::ClientConnection::Failure::kNone &&
@@ -150,7 +146,7 @@
     error_code ignored;
     if (!ec) probe->close(ignored);
   });
-  probe_->async_connect(at, [checked, probe = probe_](error_code ec) { checked(!ec); });
+  probe_->async_connect(options_.at, [checked, probe = probe_](error_code ec) { checked(!ec); });
 }
 
 void Agent::ActLater(Millis time) {
@@ -186,35 +182,23 @@
   const AgentState::Say say = state_.next();
   if (say == AgentState::Say::kNothing) return;
   const Member& m = options_.member;
-  json body = {{"id", m.id}, {"incarnation", m.incarnation}, {"by", "member"}};
-  if (say == AgentState::Say::kRegister) {
-    body.update({{"address", m.address},
-                 {"zone", m.zone},
-                 {"kind", m.kind},
-                 {"version", m.version},
-                 {"size", m.size},
-                 {"term_ms", m.term}});
-    if (!m.cell.empty()) body["cell"] = json::parse(m.cell);
-  } else {
-    body["if_incarnation"] = m.incarnation;
-  }
-  const std::string text = body.dump();
+  Command command;
+  command.action = say == AgentState::Say::kRegister ? Action::kRegister
+                   : say == AgentState::Say::kDrain  ? Action::kDrain
+                                                     : Action::kRemove;
+  command.member = m;
+  if (say != AgentState::Say::kRegister) command.if_incarnation = m.incarnation;
   if (!service_ || !service_->usable()) {
     service_ = std::make_shared<base::ClientConnection>(io_, options_.services[at_]);
   }
   calling_ = true;
   service_->Exchange(
-      fmt::format("POST /registry/{} HTTP/1.1\r\nHost: registry\r\nContent-Length: {}\r\n\r\n{}", Words(say),
-                  text.size(), text),
+      say == AgentState::Say::kRenew ? ToRequest(Renewal{m.id, m.incarnation}) : ToRequest(command),
       kPatience, [this, say](base::ClientConnection::Result result) {
         calling_ = false;
         const bool answered = result.failure == base::ClientConnection::Failure::kNone;
-        std::string code;
-        if (answered && result.response.result_int() != 200) {
-          const json parsed = json::parse(result.response.body(), nullptr, false);
-          code = parsed.is_object() && parsed.contains("error") ? parsed["error"].value("code", "unknown")
-                                                                : "unknown";
-        }
+        const std::string code =
+            answered ? ParseOutcome(result.response.result_int(), result.response.body()).code : "";
         const Millis every = options_.member.term / 3;
         if (!answered || result.response.result_int() == 503) {
           Next();
--- a/src/registry/agent.hpp
+++ b/src/registry/agent.hpp
@@ -19,6 +19,7 @@
 struct AgentOptions {
   std::vector<boost::asio::ip::tcp::endpoint> services;  // in the order in which they are tried
   Member member;                                         // `term` above 0
+  boost::asio::ip::tcp::endpoint at;                     // the member's address
   std::string check;  // path that has to answer 200; empty: a connection is enough
   base::Millis check_every = 1000;
   base::Millis check_patience = 1000;
--- a/src/registry/catalog.cpp
+++ b/src/registry/catalog.cpp
@@ -168,7 +168,7 @@
 }
 
 std::optional<std::vector<const Member*>> Catalog::Since(Revision after) const {
-  if (after > revision_ || after < oldest()) return std::nullopt;
+  if (!Knows(after)) return std::nullopt;
   std::vector<const Member*> changed;
   std::unordered_set<std::string_view> seen;
   for (auto at = history_.rbegin(); at != history_.rend() && at->revision > after; ++at) {
--- a/src/registry/catalog.hpp
+++ b/src/registry/catalog.hpp
@@ -91,6 +91,8 @@
   Revision revision() const { return revision_; }
   // The oldest revision from which Since() answers.
   Revision oldest() const { return history_.empty() ? revision_ : history_.front().revision - 1; }
+  // Whether Since() answers from there.
+  bool Knows(Revision after) const { return after >= oldest() && after <= revision_; }
   // Of the last removal that operators ordered: gateways take a list that lost many members only with such a
   // word.
   Revision confirmed() const { return confirmed_; }
--- a/src/registry/form.cpp
+++ b/src/registry/form.cpp
@@ -1,13 +1,13 @@
 #include "registry/form.hpp"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "base/endpoint.hpp"
+
 namespace elderhead::registry {
 namespace {
 
@@ -54,17 +54,10 @@
 }
 
 void CheckAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  unsigned port = 0;
-  in_addr parsed{};
-  bool good =
-      colon != std::string::npos && inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed) == 1;
-  if (good) {
-    const char* const end = address.data() + address.size();
-    const auto [at, error] = std::from_chars(address.data() + colon + 1, end, port);
-    good = error == std::errc() && at == end && port > 0 && port < 65536;
+  const auto endpoint = base::ParseEndpoint(address);
+  if (!endpoint || !endpoint->address().is_v4() || endpoint->port() == 0) {
+    throw Wrong("address", "must be an IPv4 address and port, such as 10.1.0.18:3000");
   }
-  if (!good) throw Wrong("address", "must be an IPv4 address and port, such as 10.1.0.18:3000");
 }
 
 Member ReadMember(const json& body) {
@@ -87,6 +80,11 @@
   return m;
 }
 
+std::string Post(const std::string& name, const std::string& body) {
+  return "POST /registry/" + name +
+         " HTTP/1.1\r\nHost: registry\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 Action ActionOf(std::string_view name) {
   if (name == "register") return Action::kRegister;
   if (name == "drain") return Action::kDrain;
@@ -174,6 +172,57 @@
   return json{{"error", std::move(error)}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+const char* NameOf(Action action) {
+  switch (action) {
+    case Action::kRegister: return "register";
+    case Action::kDrain: return "drain";
+    case Action::kUndrain: return "undrain";
+    case Action::kRemove: return "remove";
+    case Action::kSetSize: return "size";
+    default: return "";  // of the service's own
+  }
+}
+
+std::string ToBody(const Command& command) {
+  const Member& m = command.member;
+  json body = {{"id", m.id}, {"by", command.by_operator ? "operator" : "member"}};
+  if (command.action == Action::kRegister) {
+    body.update({{"address", m.address},
+                 {"zone", m.zone},
+                 {"kind", m.kind},
+                 {"version", m.version},
+                 {"size", m.size},
+                 {"term_ms", m.term},
+                 {"incarnation", m.incarnation}});
+    if (!m.cell.empty()) body["cell"] = json::parse(m.cell, nullptr, /*allow_exceptions=*/false);
+  }
+  if (command.action == Action::kSetSize) body["size"] = m.size;
+  if (!command.key.empty()) body["key"] = command.key;
+  if (command.if_revision) body["if_revision"] = *command.if_revision;
+  if (command.if_incarnation) body["if_incarnation"] = *command.if_incarnation;
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string ToRequest(const Command& command) { return Post(NameOf(command.action), ToBody(command)); }
+
+std::string ToRequest(const Renewal& renewal) {
+  return Post("renew", json{{"id", renewal.id}, {"incarnation", renewal.incarnation}}.dump());
+}
+
+Outcome ParseOutcome(unsigned status, const std::string& body) {
+  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  Outcome outcome{"unreadable", "", "status " + std::to_string(status)};
+  if (!parsed.is_object()) return outcome;
+  try {
+    if (status == 200)
+      return {"", "", "", parsed.at("revision").get<Revision>(), parsed.value("changed", false)};
+    const json& error = parsed.at("error");
+    outcome = {error.at("code").get<std::string>(), error.value("field", ""), error.value("message", "")};
+  } catch (const json::exception&) {
+  }
+  return outcome;
+}
+
 std::optional<WatchQuery> ParseWatch(std::string_view target) {
   WatchQuery query;
   const std::size_t mark = target.find('?');
--- a/src/registry/form.hpp
+++ b/src/registry/form.hpp
@@ -30,6 +30,14 @@
 unsigned StatusOf(const Outcome& outcome);
 std::string ToText(const Outcome& outcome);
 
+// The same from the caller's end: what ParseCall reads, as a whole request or as its body alone.
+const char* NameOf(Action action);  // of the calls that ParseCall knows
+std::string ToBody(const Command& command);
+std::string ToRequest(const Command& command);
+std::string ToRequest(const Renewal& renewal);
+// What a service answered; the code is "unreadable" where it is no answer of this form.
+Outcome ParseOutcome(unsigned status, const std::string& body);
+
 // "?after=41&wait_ms=500": nothing if a figure is none. What it does not name is absent.
 struct WatchQuery {
   std::optional<Revision> after;
--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/log.hpp"
 #include "base/toml_reader.hpp"
 
@@ -54,12 +55,9 @@
   base::TomlTable t = base::TomlTable::FromFile(path);
   ServiceOptions o;
   const std::string listen = t.Text("listen");
-  const std::size_t colon = listen.rfind(':');
-  error_code ec;
-  const auto address = asio::ip::make_address(listen.substr(0, colon), ec);
-  const int port = colon == std::string::npos ? -1 : std::atoi(listen.c_str() + colon + 1);
-  if (ec || port < 0 || port > 65535) t.Fail("listen", "must be an address and port, such as 127.0.0.1:8500");
-  o.listen = {address, static_cast<std::uint16_t>(port)};
+  const auto address = base::ParseEndpoint(listen);
+  if (!address) t.Fail("listen", "must be an address and port, such as 127.0.0.1:8500");
+  o.listen = *address;
   o.state_folder = t.Text("state_dir");
   if (o.state_folder.empty()) t.Fail("state_dir", "must be the path of a folder");
   o.owner = "registry " + t.Text("name", "registry");
@@ -188,7 +186,6 @@
 
 Service::Service(asio::io_context& io, store::FileSystem& files, ServiceOptions options)
     : io_(io),
-      files_(files),
       options_(std::move(options)),
       leases_(options_.leases),
       bell_(io, eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
@@ -201,7 +198,7 @@
   folder.owner = options_.owner;
   folder.program = options_.program;
   folder.most_bytes = std::max<std::uint64_t>(4 * options_.snapshot_after, 16 << 20);
-  journal_.emplace(files_, options_.state_folder, folder, [this](Journal::Written written) {
+  journal_.emplace(files, options_.state_folder, folder, [this](Journal::Written written) {
     {
       const std::lock_guard lock(written_mutex_);
       written_ = std::move(written);
@@ -270,7 +267,6 @@
     // The epoch has to be on the disk before anyone hears it.
     Journal::Batch begin;
     begin.snapshot = catalog_->Snapshot();
-    writing_.clear();
     journal_->Write(std::move(begin));
     std::uint64_t rung = 0;
     while (::read(bell_.native_handle(), &rung, sizeof rung) != sizeof rung) ::usleep(200);
@@ -300,6 +296,11 @@
   });
 }
 
+// They are told to come back after 1 to 4 s, not all at once.
+void Service::TurnAway(const std::shared_ptr<Session>& session, const std::string& why, bool keep) {
+  session->Refuse(503, "overloaded", why, keep, 1 + static_cast<int>(++counts_.turned_away % 4));
+}
+
 void Service::Gone(Session& session) {
   if (std::exchange(session.listing, false)) --listing_;
   const auto self = session.shared_from_this();
@@ -317,9 +318,7 @@
   // Operators have places of their own.
   if ((list || renew) && !session->listing) {
     if (listing_ >= options_.callers) {
-      ++counts_.turned_away;
-      return session->Refuse(503, "overloaded", "all places for callers are taken", false,
-                             1 + static_cast<int>(counts_.turned_away % 4));
+      return TurnAway(session, "all places for callers are taken", /*keep=*/false);
     }
     session->listing = true;
     ++listing_;
@@ -327,7 +326,7 @@
   const auto text = [&](std::string body, const char* type = "application/json") {
     session->Answer(200, std::make_shared<const std::string>(std::move(body)), true, 0, type);
   };
-  if (list) return get ? HandleList(session, target) : session->Refuse(405, "bad_request", "only GET");
+  if (list) return get ? AnswerList(session, target) : session->Refuse(405, "bad_request", "only GET");
   constexpr std::string_view kOwn = "/registry/";
   if (path == "/metrics" && get) return text(MetricsText(), "text/plain; version=0.0.4");
   if (path == "/registry/status" && get) return text(StatusText());
@@ -348,30 +347,24 @@
   session->Refuse(path.starts_with(kOwn) ? 405 : 404, "unknown_call", "no such call here");
 }
 
-void Service::HandleList(const std::shared_ptr<Session>& session, std::string_view target) {
+void Service::AnswerList(const std::shared_ptr<Session>& session, std::string_view target) {
   const auto query = ParseWatch(target);
   if (!query) return session->Refuse(400, "bad_request", "'after' and 'wait_ms' must be whole numbers");
-  AnswerList(session, *query);
-}
-
-void Service::AnswerList(const std::shared_ptr<Session>& session, const WatchQuery& query) {
-  const bool other = !query.epoch.empty() && query.epoch != catalog_->epoch();
-  const bool known =
-      query.after && !other && *query.after <= catalog_->revision() && *query.after >= catalog_->oldest();
+  const bool other = !query->epoch.empty() && query->epoch != catalog_->epoch();
+  const bool known = query->after && !other && catalog_->Knows(*query->after);
   if (!known) {
     if (whole_left_ < 1) {
-      ++counts_.turned_away;
-      return session->Refuse(503, "overloaded", "too many ask for the whole list at once", true,
-                             1 + static_cast<int>(counts_.turned_away % 4));
+      return TurnAway(session, "too many ask for the whole list at once", /*keep=*/true);
     }
     whole_left_ -= 1;
     ++counts_.lists;
     return session->Answer(200, Whole());
   }
-  if (*query.after < catalog_->revision() || query.wait <= 0)
-    return session->Answer(200, Since(*query.after));
+  if (*query->after < catalog_->revision() || query->wait <= 0) {
+    return session->Answer(200, Since(*query->after));
+  }
   watches_.insert(session);
-  session->Park(*query.after, query.wait);
+  session->Park(*query->after, query->wait);
 }
 
 // Encoded once a revision, for all that have the same.
@@ -379,7 +372,6 @@
   Body& body = since_[after];
   if (body) return body;
   ++counts_.encoded;
-  ++counts_.deltas;
   const auto changed = catalog_->Since(after);
   // Compacted meanwhile, or more than all that there is.
   if (!changed || changed->size() > catalog_->members().size() + 64) return body = Whole();
@@ -429,16 +421,24 @@
 }
 
 void Service::Propose(Command command, std::function<void(const Outcome&)> done) {
-  const auto refuse = [&](const char* code, const std::string& text) {
-    leases_.Failed(command);
-    if (done) done({code, "", text});
-  };
-  if (!storage_error_.empty()) return refuse("storage_failed", "nothing can be kept now: " + storage_error_);
-  if (waiting_.size() >= kMostWaiting) return refuse("overloaded", "too many writes wait for the disk");
-  waiting_.push_back({std::move(command), std::move(done)});
+  const Proposal proposal{std::move(command), std::move(done)};
+  if (!storage_error_.empty()) return Refuse({proposal}, "storage_failed", NothingKept());
+  if (waiting_.size() >= kMostWaiting) {
+    return Refuse({proposal}, "overloaded", "too many writes wait for the disk");
+  }
+  waiting_.push_back(proposal);
   WriteMore();
 }
 
+std::string Service::NothingKept() const { return "nothing can be kept now: " + storage_error_; }
+
+void Service::Refuse(const std::vector<Proposal>& proposals, const char* code, const std::string& text) {
+  for (const Proposal& proposal : proposals) {
+    leases_.Failed(proposal.command);
+    if (proposal.done) proposal.done({code, "", text});
+  }
+}
+
 // One batch is on at a time: what comes meanwhile goes together into the next, and when a snapshot is handed
 // over all that was written is applied.
 void Service::WriteMore() {
@@ -466,12 +466,7 @@
 void Service::Finished(Journal::Written written) {
   const std::vector<Proposal> batch = std::exchange(writing_, {});
   if (!written.status.ok()) {
-    for (const Proposal& proposal : batch) {
-      leases_.Failed(proposal.command);
-      if (proposal.done) {
-        proposal.done({"storage_failed", "", "it may or may not be kept: " + written.status.Text()});
-      }
-    }
+    Refuse(batch, "storage_failed", "it may or may not be kept: " + written.status.Text());
     return StorageFailed(written.status);
   }
   ++counts_.syncs;
@@ -511,10 +506,7 @@
   base::Log(
       Level::kError, "registry", "storage_failed",
       "registry: " + storage_error_ + "; lists and watches go on, writes are refused, tried again every 2 s");
-  for (const Proposal& proposal : std::exchange(waiting_, {})) {
-    leases_.Failed(proposal.command);
-    if (proposal.done) proposal.done({"storage_failed", "", "nothing can be kept now: " + storage_error_});
-  }
+  Refuse(std::exchange(waiting_, {}), "storage_failed", NothingKept());
   OpenAgain();
 }
 
--- a/src/registry/service.hpp
+++ b/src/registry/service.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -65,14 +66,16 @@
   void Recover();
   void Accept();
   void Handle(const std::shared_ptr<Session>& session);
-  void HandleList(const std::shared_ptr<Session>& session, std::string_view target);
   void HandleCall(const std::shared_ptr<Session>& session, std::string_view name, const std::string& body);
-  void AnswerList(const std::shared_ptr<Session>& session, const WatchQuery& query);
+  void AnswerList(const std::shared_ptr<Session>& session, std::string_view target);
+  void TurnAway(const std::shared_ptr<Session>& session, const std::string& why, bool keep);
   Body Since(Revision after);
   Body Whole();
   void Gone(Session& session);
 
   void Propose(Command command, std::function<void(const Outcome&)> done);
+  void Refuse(const std::vector<Proposal>& proposals, const char* code, const std::string& text);
+  std::string NothingKept() const;
   void WriteMore();
   void AwaitWritten();
   void Finished(Journal::Written written);
@@ -85,7 +88,6 @@
   std::string MetricsText() const;
 
   boost::asio::io_context& io_;
-  store::FileSystem& files_;
   const ServiceOptions options_;
   std::optional<Catalog> catalog_;
   Leases leases_;
@@ -109,8 +111,8 @@
   double whole_left_ = 0;
   base::Millis started_ = 0, last_tick_ = 0;
   struct Counts {
-    std::uint64_t calls = 0, writes = 0, syncs = 0, renewals = 0, lists = 0, deltas = 0, turned_away = 0,
-                  cut_off = 0, encoded = 0;
+    std::uint64_t calls = 0, writes = 0, syncs = 0, renewals = 0, lists = 0, turned_away = 0, cut_off = 0,
+                  encoded = 0;
   } counts_;
   base::Histogram sync_us_;
 };
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -163,6 +163,15 @@
   RC_ASSERT(!catalog.Since(catalog.revision() + 1).has_value());
 }
 
+// What a caller writes is what the service reads.
+RC_GTEST_PROP(Form, ReadsWhatItWrites, ()) {
+  const Command command = *AnyCommand();
+  RC_PRE(command.action <= Action::kSetSize);
+  const Call call = ParseCall(NameOf(command.action), ToBody(command));
+  RC_ASSERT(std::holds_alternative<Command>(call));
+  RC_ASSERT(std::get<Command>(call) == command);
+}
+
 // A history of bounded length: a watcher exactly at the bound gets its changes, one behind it the whole list.
 RC_GTEST_PROP(Catalog, CompactsItsHistory, ()) {
   const auto commands = *rc::gen::container<std::vector<Command>>(AnyCommand());
