--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -208,11 +208,8 @@
       for (auto& [id, b] : servers_) b.up = false;
     }
     for (const Server& s : news.servers) Learn(s);
-    for (auto it = servers_.begin(); it != servers_.end();) {
-      it = !it->second.up && it->second.refs == 0 ? servers_.erase(it) : std::next(it);
-    }
-    up_ = 0;
-    for (auto& [id, b] : servers_) up_ += b.up;
+    std::erase_if(servers_, [](const auto& entry) { return !entry.second.up && entry.second.refs == 0; });
+    up_ = static_cast<int>(std::ranges::count_if(servers_, [](auto& entry) { return entry.second.up; }));
     ChooseSubset();
   }
 
@@ -245,6 +242,7 @@
     }
   }
   bool Near(const Backend& b) const { return b.info.zone == set_.zone; }
+  bool ManySharers() const { return sharers_ > kManySharers; }
 
   void Learn(const Server& s) {
     const auto [entry, added] = servers_.try_emplace(s.id);
@@ -319,7 +317,7 @@
   bool Ready(Backend& b, bool in_share) {
     // Where many share a server, a limit each is a fraction of a request learned from next to nothing. There
     // the rate alone admits, and what is beyond a share goes only while all goes well: it took tokens too.
-    if (sharers_ > kManySharers) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
+    if (ManySharers()) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
     if (now_ < b.rests_until) return false;
     const double part = in_share || b.kind->busy < kSpareBusy ? 1 : kSpareShare;
     return b.in_flight < b.places * part && WithinBudget(b);
@@ -441,7 +439,7 @@
 
   double Cost(const Backend& b) {
     // A few samples of a server tell little: where many share it they are shrunk toward those of its kind.
-    const double pooled = sharers_ > kManySharers && b.kind->latency > 0 ? kPooled : 0;
+    const double pooled = ManySharers() && b.kind->latency > 0 ? kPooled : 0;
     const double own = std::min(1.0 * b.samples, 1 / kFast), all = own + pooled;
     const double latency = (own * b.latency + pooled * b.kind->latency) / std::max(1.0, all);
     return (Near(b) ? 1 : kCrossing) * (b.in_flight + 1) * (all > 0 ? latency : std::max(1.0, Median()));
@@ -486,8 +484,7 @@
       if (set_.warm_keys && flow.key != 0) {
         // Weighted rendezvous: lowest first; a server's coming or going moves only its own keys.
         for (auto& [rank, b] : candidates_) rank = -std::log(Fraction(flow.key ^ b->hash)) / b->info.weight;
-        std::partial_sort(candidates_.begin(), candidates_.begin() + 2, candidates_.end(),
-                          [](const auto& x, const auto& y) { return x.first < y.first; });
+        std::ranges::partial_sort(candidates_, candidates_.begin() + 2, {}, &Ranked::first);
       } else {
         const std::size_t n = candidates_.size();
         std::swap(candidates_[0], candidates_[random_() % n]);
@@ -508,7 +505,7 @@
     if (first) rate_ = kStartRate * up_;
     const double full = std::max(2.0, rate_ * kBurst / 1000);
     tokens_ = first ? full : std::min(tokens_ + rate_ * passed / 1000, full);
-    const double kept = std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
+    const double kept = std::exp(-passed / SpentMemory());
     spent_rate_ *= kept;
     spent_part_ = 1 - kept * (1 - spent_part_);
     const double remembered = std::exp(-passed / kLongMemory);
@@ -519,6 +516,7 @@
   // Tokens spent a second. What the smoothing has not seen yet counts for nothing: a process that has sent
   // for a tenth of a second would pass for one that hardly sends, and a cut would leave it next to no rate.
   double Spent() const { return spent_rate_ / std::max(spent_part_, kLeastSpent); }
+  Millis SpentMemory() const { return kSpentMemory * (ManySharers() ? 4 : 1); }
 
   // Failures that one server explains eject it; only those of servers held ready move the rate. A broken
   // connection tells nothing of load: one that can't take more rejects, is late, or fails to connect.
@@ -530,8 +528,7 @@
     failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
     if (timely) {
       rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
-    } else if (!timely && failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) &&
-               now_ >= cut_after_) {
+    } else if (failing_ > (ManySharers() ? kToleratedMany : kTolerated) && now_ >= cut_after_) {
       rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
       cut_at_ = now_;
       cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
@@ -576,7 +573,7 @@
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
-    trial_budget_ = std::min(trial_budget_ + (sharers_ > kManySharers ? kTrialShare : 1), kTrialBurst);
+    trial_budget_ = std::min(trial_budget_ + (ManySharers() ? kTrialShare : 1), kTrialBurst);
     const bool in_vain = late && c.set.late_worth <= 0;       // worth nothing any more
     if (in_vain || now_ >= flow.leaves_at - kAnswerBefore) {  // or no sweep may come in time
       ++counts_.late;
@@ -657,10 +654,10 @@
 
   void Dispatch(Flow& flow, Backend& b) {
     Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
-    if ((b.suspect || Silent(b)) && sharers_ > kManySharers && flow.attempts.empty())
+    if ((b.suspect || Silent(b)) && ManySharers() && flow.attempts.empty())
       until = now_ + kTrialTime * (flow.aim_at - now_);
     tokens_ -= 1;
-    spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
+    spent_rate_ += 1000 / SpentMemory();
     if (Warmth(b) < 1) b.cold_credit -= 1;
     ++b.in_flight;
     ++b.refs;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -121,7 +121,8 @@
   std::map<std::string, Kind> kinds_;
   std::map<std::string, Zone> zones_;
   std::map<std::string, Backend> servers_;  // ordered: iteration must be repeatable
-  std::vector<std::pair<double, Backend*>> candidates_, spared_;
+  using Ranked = std::pair<double, Backend*>;
+  std::vector<Ranked> candidates_, spared_, ring_;
   std::vector<Backend*> trials_;
   std::vector<double> scratch_;
   std::vector<Flow*> due_;
@@ -140,7 +141,6 @@
   std::size_t queued_ = 0;
   Counts counts_;
   Millis counted_at_ = kNever;
-  std::vector<std::pair<double, Backend*>> ring_;
   double place_ = 0;        // of this gateway on the ring of servers
   std::uint64_t salt_ = 0;  // its own, by which it draws servers of other zones
   double sharers_ = 1;      // gateways that use each server
@@ -175,9 +175,7 @@
     }
     std::sort(ring_.begin(), ring_.end());
     for (auto& [at, b] : ring_) at = rank[b->kind]++ / size[b->kind];
-    std::sort(ring_.begin(), ring_.end(), [](const auto& x, const auto& y) {
-      return std::pair(x.first, x.second->hash) < std::pair(y.first, y.second->hash);
-    });
+    std::ranges::stable_sort(ring_, {}, &Ranked::first);
   }
 
   double Median() {
