The question behind a dial outlives the attempt that it ends

Cause: host_pool.cpp, Dialled: the question whether the attempt is still wanted may have the attempt cancelled, which destroys the job and with it the closure that is running. Change: the closure is held while it runs.

--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -180,9 +180,9 @@
   void Dialled(error_code ec) {
     dialling_ = false;
     if (ec) return End(Result::kConnectFailed);
-    // The dial took time: the host may have begun to drain, or may have moved.
-    if (!pool_.MayUse(host_, address_) || (job_->order.wanted && !job_->order.wanted()))
-      return End(Result::kNotSent);
+    // The dial took time: the host may have begun to drain, or may have moved, and the client may have left.
+    const auto wanted = job_->order.wanted;  // the job may end while it is asked
+    if (!pool_.MayUse(host_, address_) || (wanted && !wanted())) return End(Result::kNotSent);
     Arm(job_->order.deadline);
     Read();
     Write();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -471,6 +471,33 @@
   }
 }
 
+// Guards the question behind a dial whether the attempt is wanted still: its answer may be that attempt's
+// end.
+TEST(HostPool, EndsAnAttemptThatIsFoundUnwantedBehindItsDial) {
+  asio::io_context io;
+  Peer host(io);
+  gateway::HostPool pool(io, {5000, 60000, 2});
+  gateway::HostList list;
+  list.hosts = {{MakeHost("h1"), host.address()}};
+  pool.Update(list);
+  for (const bool cancelled : {true, false}) {
+    std::vector<Result> results;
+    std::uint64_t attempt = 0;
+    auto order = MakeOrder(std::make_shared<const HttpRequest>(http::verb::get, "/api", 11),
+                           gateway::Now() + 60000, [&](Result r) { results.push_back(r); });
+    const std::string held(100, 'x');  // on the heap, so that a sanitizer sees it freed too soon
+    order.wanted = [&, held] {
+      if (cancelled) pool.Cancel(attempt);
+      return held.empty();
+    };
+    attempt = pool.Start("h1", std::move(order));
+    ASSERT_TRUE(RunUntil(io, [&] { return !results.empty(); }));
+    EXPECT_EQ(results, std::vector<Result>{cancelled ? Result::kCancelled : Result::kNotSent});
+    EXPECT_EQ(pool.connections(), 0u);
+  }
+  EXPECT_TRUE(host.requests.empty());
+}
+
 // Guards the limit on connections: beyond it an attempt is told as never sent, and one that idles makes room.
 TEST(HostPool, KeepsToItsLimit) {
   asio::io_context io;
