Whoever finds no place for 300 ms is told so; no accept beyond the places

Need: idle clients may fill the descriptors while discovery is down; discovery, hosts and management get theirs, and whoever is turned away is told so promptly. Seen in the test, the program under a real limit of 128 descriptors with 300 idle clients and all places taken by requests under way: operators, hosts and discovery got theirs; a further client waited 7.4 s in the kernel's queue for its answer. And a fault on the way: closing a connection for a new one began an accept within the accept, so two were pending for one place (client_server.cpp, Accept). Change: with no place for 300 ms, and none that comes free by itself, up to eight connections at a time beyond the places get a 503 with retry-after, where settings allow, and a close; the accept is begun once.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -31,23 +31,26 @@
 using tcp = asio::ip::tcp;
 
 constexpr Millis kSweepEvery = 500;
-constexpr Millis kIdle = 75000;          // a connection without a request is closed
-constexpr Millis kFirst = 2000;          // the first request of a connection must have begun by then
-constexpr Millis kPartial = 2700;        // a head that was begun must be whole by then
-constexpr Millis kStill = 2000;          // a body that is waited for must go on by then
-constexpr Millis kBodyGrace = 700;       // beyond what a body may take at the least rate
-constexpr double kBodyRate = 32;         // bytes/ms: half of what slow clients send
-constexpr Millis kUnread = 10000;        // a piece of an answer must have been taken in by then
-constexpr Millis kLinger = 1000;         // a client that was told of the close gets this to close first
-constexpr Millis kMostLinger = 6000;     // the same for one that goes on sending meanwhile
-constexpr Millis kShedAfter = 500;       // into a drain: the front has stopped by then
-constexpr Millis kShedRest = 300;        // a connection that is no older may have a request on its way
-constexpr Millis kShedPartial = 1700;    // into a drain: what was begun and is not whole by then is refused
-constexpr Millis kRoomAgain = 20;        // from one look for a place to the next
-constexpr Millis kLeastRest = 50;        // what a connection gets to send in, however many wait for its place
-constexpr Millis kLeastPartial = 1000;   // of silence in a request before it gives way to others
-constexpr Millis kAcceptAgain = 50;      // after an accept that failed, out of descriptors perhaps
-constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
+constexpr Millis kIdle = 75000;         // a connection without a request is closed
+constexpr Millis kFirst = 2000;         // the first request of a connection must have begun by then
+constexpr Millis kPartial = 2700;       // a head that was begun must be whole by then
+constexpr Millis kStill = 2000;         // a body that is waited for must go on by then
+constexpr Millis kBodyGrace = 700;      // beyond what a body may take at the least rate
+constexpr double kBodyRate = 32;        // bytes/ms: half of what slow clients send
+constexpr Millis kUnread = 10000;       // a piece of an answer must have been taken in by then
+constexpr Millis kLinger = 1000;        // a client that was told of the close gets this to close first
+constexpr Millis kMostLinger = 6000;    // the same for one that goes on sending meanwhile
+constexpr Millis kShedAfter = 500;      // into a drain: the front has stopped by then
+constexpr Millis kShedRest = 300;       // a connection that is no older may have a request on its way
+constexpr Millis kShedPartial = 1700;   // into a drain: what was begun and is not whole by then is refused
+constexpr Millis kRoomAgain = 20;       // from one look for a place to the next
+constexpr Millis kLeastRest = 50;       // what a connection gets to send in, however many wait for its place
+constexpr Millis kLeastPartial = 1000;  // of silence in a request before it gives way to others
+constexpr Millis kTurnAwayAfter = 300;  // with no place for anyone: whoever waits then is told so
+constexpr std::size_t kMostTurnedAway = 8;  // at a time, in places beyond those of clients
+constexpr Millis kComeBackAfter = 500;      // what they are told, where clients heed it
+constexpr Millis kAcceptAgain = 50;         // after an accept that failed, out of descriptors perhaps
+constexpr Millis kMostAllowed = 600000;     // longer deadlines are cut to this: timers must not overflow
 constexpr std::size_t kMostBuffer = 2 * kMostHeader;  // unparsed bytes: a header, or the head of a chunk
 constexpr std::size_t kAhead = 4096;  // read at once of what follows a request that is under way
 constexpr std::size_t kMostId = 256;
@@ -97,6 +100,14 @@
     Read();
   }
 
+  // There is no place for it, whatever it asks.
+  void TurnAway() {
+    turned_away_ = true;
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Refuse({http::status::service_unavailable, "no place is free"}, server_.come_back_after_);
+  }
+
   // Between requests, with nothing unread: may be closed without losing anything that was taken.
   bool Idle() {
     error_code ec;
@@ -107,6 +118,8 @@
     error_code ec;
     return phase_ == Phase::kReading && reading_ && socket_.available(ec) == 0;
   }
+  // Its place comes free soon, whatever hosts do: it may be closed for another, or is closing.
+  bool Yields() const { return phase_ == Phase::kReading || (phase_ == Phase::kLingering && !turned_away_); }
   // Since when nothing of it has come, as far as that was seen.
   Millis quiet_since() const { return std::max(since_, in_body_ ? asked_at_ : quiet_since_); }
   Millis since() const { return since_; }
@@ -425,13 +438,14 @@
   }
 
   // What can't be read on leaves the connection without a place to go on from.
-  void Refuse(const Fault& fault) {
+  void Refuse(const Fault& fault, Millis retry_after = 0) {
     keep_alive_ = false;
-    Explain(fault);
+    Explain(fault, retry_after);
   }
 
-  void Explain(const Fault& fault) {
+  void Explain(const Fault& fault, Millis retry_after = 0) {
     HttpResponse response(fault.status, 11);
+    if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
     response.set(http::field::content_type, "text/plain");
     if (fault.status == http::status::method_not_allowed) response.set(http::field::allow, "GET, POST");
     response.body() = fault.text + "\n";
@@ -579,7 +593,8 @@
   Millis begun_at_ = since_;  // not after the first byte of the request that is being read
   unsigned version_ = 11;
   bool keep_alive_ = true;
-  bool reading_ = false;    // some of a request
+  bool reading_ = false;  // some of a request
+  bool turned_away_ = false;
   bool watched_ = false;    // the client's leaving is waited for
   std::uint64_t wait_ = 0;  // the wait for bytes that counts
 };
@@ -592,6 +607,7 @@
       most_sessions_(most_sessions),
       most_held_(most_held),
       handlers_(std::move(handlers)),
+      come_back_after_(settings.retry_after ? std::min(kComeBackAfter, settings.max_retry_after) : 0),
       sweep_(io),
       accept_again_(io) {
   for (const ClassSettings& c : settings.classes) classes_[c.name] = c.effect;
@@ -610,14 +626,20 @@
 
 void ClientServer::Accept() {
   if (accepting_ || !acceptor_.is_open()) return;
-  // With all places taken by requests under way, further clients wait in the kernel's queue.
-  if (Full() && !EvictIdle()) return AcceptLater(kRoomAgain);
+  // With all places taken by requests under way, further clients wait in the kernel's queue: but not for
+  // long.
+  const bool room = FindRoom();
+  if (accepting_) return;  // since one was closed for it
+  if (!room && !(TurnsAway() && sessions_.size() < most_sessions_ + kMostTurnedAway)) {
+    return AcceptLater(kRoomAgain);
+  }
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
     if (!acceptor_.is_open()) return;
     if (!ec) {
-      Accepted(std::move(socket));
+      // Nobody may have come for long, and things have changed since.
+      !FindRoom() && TurnsAway() ? TurnedAway(std::move(socket)) : Accepted(std::move(socket));
       return Accept();
     }
     if (ec == asio::error::no_descriptors) EvictIdle();
@@ -625,6 +647,15 @@
   });
 }
 
+bool ClientServer::FindRoom() {
+  const bool room = !Full() || EvictIdle();
+  const auto yields = [](const auto& session) { return session->Yields(); };
+  if (room || std::ranges::any_of(sessions_, yields)) had_room_at_ = Now();
+  return room;
+}
+
+bool ClientServer::TurnsAway() const { return Now() - had_room_at_ >= kTurnAwayAfter; }
+
 void ClientServer::AcceptLater(Millis time) {
   accept_again_.expires_after(Span(time));
   accept_again_.async_wait([this](error_code ec) {
@@ -638,6 +669,12 @@
   session->Begin();
 }
 
+void ClientServer::TurnedAway(tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket), /*adopted=*/false);
+  sessions_.insert(session);
+  session->TurnAway();
+}
+
 void ClientServer::Closed(const std::shared_ptr<Session>& session) {
   sessions_.erase(session);
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -81,9 +81,12 @@
   void Accept();
   void AcceptLater(Millis time);
   void Accepted(boost::asio::ip::tcp::socket socket, bool adopted = false);
+  void TurnedAway(boost::asio::ip::tcp::socket socket);
   void Closed(const std::shared_ptr<Session>& session);
   bool Full() const { return sessions_.size() >= most_sessions_; }
   bool EvictIdle();
+  bool FindRoom();
+  bool TurnsAway() const;  // no place has come free for too long
   void Sweep();
   // Checks a request against the settings and the protocol; the error is an answer's status and text.
   struct Fault;
@@ -98,6 +101,8 @@
   std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  const Millis come_back_after_;  // told to whoever finds no place; 0: nothing is
+  Millis had_room_at_ = 0;
   boost::asio::steady_timer sweep_;
   boost::asio::steady_timer accept_again_;
   bool accepting_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,12 +72,6 @@
   return text;
 }
 
-std::string Seconds(Millis ms) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", ms / 1000);
-  return text;
-}
-
 ServerNews ToNews(const HostList& list) {
   ServerNews news;
   news.kind = list.complete ? ServerNews::Kind::kFull : ServerNews::Kind::kDelta;
--- a/src/gateway/http_types.hpp
+++ b/src/gateway/http_types.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <cstdio>
 #include <sstream>
 #include <string>
 
@@ -36,6 +37,13 @@
   return text.str();
 }
 
+// As in Retry-After.
+inline std::string Seconds(double ms) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", ms / 1000);
+  return text;
+}
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -3,6 +3,7 @@
 #define OPALSWITCH_TESTS_PROCESS_HPP_
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,13 +24,19 @@
 
 class Process {
  public:
-  // Starts the program with the variables given; its standard error goes to a file.
-  explicit Process(const std::vector<std::pair<std::string, std::string>>& variables)
+  // Starts the program with the variables given, and no more descriptors if that is not 0; its standard error
+  // goes to a file.
+  explicit Process(const std::vector<std::pair<std::string, std::string>>& variables, rlim_t descriptors = 0)
       : errors_(::testing::TempDir() + "forkwick-err-" + std::to_string(getpid()) + "-" +
                 std::to_string(++started_)),
         pid_(fork()) {
     if (pid_ != 0) return;
     for (const auto& [name, value] : variables) setenv(name.c_str(), value.c_str(), 1);
+    if (descriptors > 0) {
+      for (int fd = 3; fd < 1024; ++fd) close(fd);  // the test's own
+      const rlimit limit{descriptors, descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     if (std::freopen(errors_.c_str(), "w", stderr) == nullptr) _exit(99);
     execl(FORKWICK_PROGRAM, FORKWICK_PROGRAM, nullptr);
     _exit(98);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -129,5 +129,77 @@
   }
 }
 
+// Guards the descriptors while discovery is down: idle clients, and requests under way in every place, leave
+// management, hosts and discovery theirs, and whoever finds no place is told so at once. The process's limit
+// is that of its configuration, so that none is to be had beyond it.
+TEST(Program, KeepsDescriptorsForDiscoveryHostsAndOperators) {
+  constexpr int kSockets = 128;
+  constexpr std::size_t kPlaces = (kSockets - 40) * 2 / 3;
+  asio::io_context io;
+  Peer host(io);
+  const tcp::endpoint listen = FreeAddress(io), management = FreeAddress(io);
+  tcp::acceptor discovery(io, tcp::v4());
+  discovery.bind(Loopback());  // and does not listen: it is down
+  const nlohmann::json config = {{"seed", "1f"},
+                                 {"limits", {{"sockets", kSockets}}},
+                                 {"known", List(1, true, {Member("h0", host.address())})},
+                                 {"settings", TestSettings()}};
+  const File file(config.dump());
+  Process process({{"NODE_CONFIG", file.path},
+                   {"NODE_LISTEN", ToText(listen)},
+                   {"NODE_MGMT", ToText(management)},
+                   {"NODE_DISCOVERY", ToText(discovery.local_endpoint())}},
+                  kSockets);
+  const auto check = [&] {
+    error_code ec;
+    tcp::socket socket(io);
+    socket.connect(management, ec);
+    if (ec) return std::string();
+    asio::write(socket, asio::buffer("check\n", 6), ec);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+  };
+  ASSERT_TRUE(RunUntil(io, [&] { return check().starts_with("SUCCESS"); }));
+  const auto fill = [&](std::size_t n) {
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < n; ++i) clients.push_back(std::make_unique<Client>(io, listen));
+    return clients;
+  };
+  const auto idle = fill(300);
+  auto busy = fill(kPlaces);
+  for (std::size_t i = 0; i < busy.size(); ++i)
+    busy[i]->Send(ApiCall("busy" + std::to_string(i), "view", "20000m"));
+  ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 2; }));  // others wait for theirs
+  EXPECT_TRUE(check().starts_with("SUCCESS"));
+  // No place is left: whoever comes is told before any request under way is over.
+  const auto at = std::chrono::steady_clock::now();
+  Client late(io, listen);
+  late.Send(ApiCall("late"));
+  EXPECT_EQ(late.Await().result(), http::status::service_unavailable);
+  EXPECT_FALSE(late.Await()[http::field::retry_after].empty());
+  EXPECT_LT(std::chrono::steady_clock::now() - at, std::chrono::seconds(1));
+  EXPECT_TRUE(check().starts_with("SUCCESS"));
+  // Discovery comes back, and is heard while all places are taken still.
+  discovery.listen();
+  discovery.non_blocking(true);
+  std::optional<tcp::socket> asked;
+  const auto back = std::chrono::steady_clock::now();
+  ASSERT_TRUE(RunUntil(io, [&] {
+    error_code ec;
+    tcp::socket socket = discovery.accept(ec);
+    if (!ec) asked.emplace(std::move(socket));
+    return asked.has_value();
+  }));
+  EXPECT_LT(std::chrono::steady_clock::now() - back, std::chrono::milliseconds(5000));
+  for (const auto& taken : std::vector<Peer::Taken>(host.requests)) taken.Answer(200, "");
+  host.serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  for (const auto& client : busy) EXPECT_EQ(client->Await().result(), http::status::ok);
+  Client after(io, listen);
+  after.Send(ApiCall("after"));
+  EXPECT_EQ(after.Await().result(), http::status::ok);
+  EXPECT_FALSE(process.Ended());
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
