A keyed repeat arrives within its window, or is not written

Cause, from reading, not traced: Policy::Allowed asked only whether the window was open when the repeat was decided; a dial that takes up to 0.6 s there has it written, and arrive, behind the window. Change: a repeat must be decided, and its writing begun, 100 ms before the window ends; Send tells by when, and a dial that comes up later is not written to. Test of the decision and of the time told; it was not run without the mend.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -149,6 +149,7 @@
   std::string request;
   std::string server;
   Millis timeout = 0;
+  Millis written_within = 1e15;  // by then its writing must have begun; else it ends with kNotSent
 };
 // Final answer: turned away, trying again is harmless. retry_after 0 = no advice.
 struct Refuse {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -520,7 +520,9 @@
   order.request = flow->http;
   if (!flow->whole) order.rest = flow->rest;
   order.deadline = flow->whole ? std::min(now + timeout, flow->leaves_at) : now + kMostUpload;
-  order.wanted = [this, id = send.request] { return Awaited(id); };
+  order.wanted = [this, id = send.request, write_by = now + send.written_within] {
+    return Now() <= write_by && Awaited(id);
+  };
   order.done = [this, id = send.request, index](Result result, HttpResponse response) {
     Ended(id, index, result, std::move(response));
   };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,4 @@
-// The decisions of opalswitch. Their interface (settings, events, actions) is
-// include/opalswitch/policy.hpp. docs/design.md tells the mechanism and when each departure acts.
+// The decisions of opalswitch. Their interface (settings, events, actions): include/opalswitch/policy.hpp.
 #include "opalswitch/policy.hpp"
 
 #include <algorithm>
@@ -51,6 +50,7 @@
 constexpr double kTrialTime = 0.5;  // part of the time to its aim that a trial takes: the rest is for another
 constexpr std::size_t kSilentServers = 3;  // mute ones, with no answer since, that tell of a lost zone
 constexpr Millis kLostAfter = 1000;        // ms of silence after which failed connections mean a death
+constexpr Millis kTravel = 100;            // ms from a request's first byte to its arrival, at the most
 constexpr double kRetryShare = 0.1;        // further attempts earned by each first one
 constexpr double kRetryBurst = 20;         // further attempts that may be saved up
 constexpr double kFirstTry = 0.95;         // part of the most time left below which it is a further try
@@ -73,10 +73,8 @@
 constexpr Millis kSpentMemory = 1000;  // ms over which the spent rate is smoothed
 constexpr double kLeastSpent = 0.05;   // part of that memory below which a rate can't be told yet
 constexpr Millis kLongMemory = 10000;  // ms, the same where a few requests a second must give a rate
-constexpr double kFailMemory =
-    0.05;  // least weight of an outcome in all servers' failing share; else a second's
-constexpr Millis kVerdictHalfLife =
-    15000;  // ms after which what was known of a server's failures counts half
+constexpr double kFailMemory = 0.05;   // least weight of an outcome in the failing share; else a second's
+constexpr Millis kVerdictHalfLife = 15000;  // ms after which what a server failed counts half
 constexpr Millis kLatencyHalfLife = 60000;  // ms, the same of its latency and limit
 constexpr Millis kSumsHalfLife = 20000;     // ms, the same of rates and of what servers bear
 
@@ -197,8 +195,8 @@
 
   void On(const ServerNews& news) {
     if (news.kind == ServerNews::Kind::kFailed) {
-      // The list service may be swamped: ask again later each time, never all gateways at once. It works
-      // through calls that were given up, too. But what it tells must come in time, whatever failed before.
+      // The list service may be swamped, by calls given up too: ask later each time, never all at once. But
+      // what it tells must come in time, whatever failed before.
       const double jitter = ask_gap_ > 0 ? 0.75 + Uniform() / 4 : Uniform();
       ask_gap_ = std::min(std::max({kAskGap, AskSpread(), ask_gap_ * 2}),
                           std::max(set_.ask_within / 4, 2 * AskSpread()));
@@ -454,10 +452,10 @@
     const ClassSettings& c = classes_[flow.cls].set;
     const Attempt* first = c.effect == Effect::kKeyed ? flow.FirstRun() : nullptr;
     if (first == nullptr) return true;
-    if (now_ - first->sent >= c.repeat_window) return false;
+    if (now_ >= flow.repeat_by) return false;
     const Server& at = first->server->info;
-    if (c.group == Group::kZone) return at.zone == b.info.zone;
-    return c.group == Group::kAll || at.cell == b.info.cell;
+    return c.group == Group::kAll ||
+           (c.group == Group::kZone ? at.zone == b.info.zone : at.cell == b.info.cell);
   }
 
   // The better of two ready servers by (own in-flight + 1) x smoothed latency, or null.
@@ -666,7 +664,7 @@
     ++b.in_flight;
     ++b.refs;
     flow.attempts.push_back({&b, now_});
-    Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
+    Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_), flow.repeat_by - now_});
   }
 
   void On(Outcome o) {
@@ -679,6 +677,9 @@
       o.latency = now_ - attempt.sent;  // never into an estimate
     attempt.may_have_run =
         o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
+    const ClassSettings& c = classes_[flow.cls].set;
+    if (attempt.may_have_run && c.effect == Effect::kKeyed)
+      flow.repeat_by = std::min(flow.repeat_by, attempt.sent + c.repeat_window - kTravel);
     Backend& b = *attempt.server;
     flow.held = o.held;
     if (attempt.streaming) {  // judged by its begin; an answer that broke off counts against the server still
@@ -802,9 +803,8 @@
     LearnReference(last == kNever ? 0 : std::min(kLongMemory, now_ - last));
     if (Busy() > kWider * used_) ChooseSubset();
     ExpireQueued();
-    if (now_ >= counted_at_ + kSummaryEvery) {
-      if (std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary(*this)});
-    }
+    const bool due = now_ >= counted_at_ + kSummaryEvery;
+    if (due && std::exchange(counted_at_, now_) != kNever) Emit(Log{Summary(*this)});
   }
 
   void Emit(Action action) { out_->push_back(std::move(action)); }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -79,6 +79,7 @@
   int cls = 0;
   std::uint64_t key = 0;  // 0 = none
   Millis arrived = 0, aim_at = 0, leaves_at = 0;
+  Millis repeat_by = kForever;  // a repeat of what may have run has to arrive while repeats are dropped
   bool in_share = true;
   bool answered = false;
   bool queued = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -920,6 +920,31 @@
   }
 }
 
+// A keyed request that may have run is sent again only while a repeat still arrives within its window:
+// neither decided, nor written behind a dial, too late for that.
+TEST(Rules, KeyedRepeatArrivesWithinItsWindow) {
+  for (const Millis window : {50.0, 400.0, 5000.0}) {
+    Settings s = MakeSettings();
+    s.classes[1].repeat_window = window;
+    s.classes[1].group = Group::kAll;
+    for (Millis taken = 10; taken < window + 200; taken += window / 8) {
+      Gateway g(s);
+      g.Servers(3);
+      g.Serve(20, 5, "key");
+      const std::string first = Gateway::SentTo(g.Ask("k", "key", 20000));
+      const std::size_t sent = g.sent.size();
+      g.now += taken;
+      g.End("k", first, Result::kReset, taken);
+      g.Pass(20);
+      if (taken >= window - 100) {
+        EXPECT_EQ(g.sent.size(), sent) << window << " " << taken;
+      }
+      if (g.sent.size() == sent) continue;
+      EXPECT_LE(taken + g.sent.back().written_within, window - 100 + 20) << window << " " << taken;
+    }
+  }
+}
+
 // A hundred gateways that start, or fail, at one moment ask a service that bears some twenty calls a second.
 TEST(List, ManyGatewaysThatStartTogetherSpreadTheirCalls) {
   Settings s = MakeSettings();
