--- /dev/null
+++ b/src/lab/gnuplot.cpp
@@ -0,0 +1,47 @@
+#include "lab/gnuplot.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+#include <system_error>
+
+namespace elderhead::lab {
+namespace {
+
+// Within single quotes of the shell: a quote ends the quoted text, stands escaped, and begins it again.
+std::string ShellQuoted(const std::string& text) {
+  std::string quoted = "'";
+  for (const char c : text) quoted += c == '\'' ? "'\\''" : std::string(1, c);
+  return quoted + "'";
+}
+
+}  // namespace
+
+std::string GnuplotQuoted(const std::string& text) {
+  std::string quoted = "'";
+  for (const char c : text) quoted += c == '\'' ? "''" : std::string(1, c);
+  return quoted + "'";
+}
+
+void MakeFolder(const std::filesystem::path& folder) {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  if (error) {
+    throw std::runtime_error("can't make the folder '" + folder.string() + "': " + error.message());
+  }
+}
+
+void WriteTextFile(const std::filesystem::path& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("can't write '" + path.string() + "'");
+}
+
+void RunGnuplot(const std::filesystem::path& folder, const std::string& name) {
+  const std::string place = ShellQuoted(std::filesystem::absolute(folder).string());
+  if (std::system(("cd " + place + " && gnuplot " + ShellQuoted(name)).c_str()) == 0) return;
+  throw std::runtime_error("gnuplot can't be run (Debian: gnuplot-nox), or failed on " +
+                           (folder / name).string());
+}
+
+}  // namespace elderhead::lab
--- a/src/lab/plot.cpp
+++ b/src/lab/plot.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <sstream>
 #include <stdexcept>
 
+#include "lab/gnuplot.hpp"
 #include "lab/results.hpp"
 
 namespace elderhead::lab {
@@ -55,12 +54,6 @@
   return text;
 }
 
-void Write(const std::filesystem::path& path, const std::string& text) {
-  std::ofstream out(path, std::ios::binary);
-  out << text;
-  if (!out.flush()) throw std::runtime_error("can't write '" + path.string() + "'");
-}
-
 std::string Read(const std::filesystem::path& path) {
   std::stringstream text;
   text << std::ifstream(path, std::ios::binary).rdbuf();
@@ -75,13 +68,6 @@
   return out;
 }
 
-// Gnuplot reads backslashes and quotes within its quotes.
-std::string Quoted(const std::string& text) {
-  std::string out = "'";
-  for (const char c : text) out += c == '\'' ? "''" : std::string(1, c);
-  return out + "'";
-}
-
 std::string Script(const Results& results, const std::vector<std::string>& variants) {
   std::string script =
       "set terminal svg size 960,320 dynamic background rgb 'white'\nset encoding utf8\n"
@@ -100,7 +86,7 @@
       script +=
           fmt::format("set arrow from {0},graph 0 to {0},graph 1 nohead lc rgb '#cc8888' dt 2\n", at / 1000);
       script += fmt::format("set label {} at {},graph {:.2f} font ',9' tc rgb '#884444' noenhanced\n",
-                            Quoted(what), at / 1000, 0.96 - 0.07 * (row++ % 5));
+                            GnuplotQuoted(what), at / 1000, 0.96 - 0.07 * (row++ % 5));
     }
     script += "plot ";
     for (std::size_t i = 0; i < variants.size(); ++i) {
@@ -120,20 +106,11 @@
 void Plot(const Results& results, const std::string& folder) {
   if (results.plays.empty()) throw std::runtime_error("the result holds no play");
   const std::filesystem::path at(folder);
-  std::error_code ec;
-  std::filesystem::create_directories(at, ec);
-  if (ec) throw std::runtime_error("can't make the folder '" + folder + "': " + ec.message());
+  MakeFolder(at);
   const std::vector<std::string> variants = Variants(results);
-  for (const std::string& variant : variants) Write(at / (variant + ".dat"), Data(results, variant));
-  Write(at / "plot.gnuplot", Script(results, variants));
-  std::string shell =
-      "'";  // for the shell: a quote ends the quoted text, stands escaped, and begins it again
-  for (const char c : std::filesystem::absolute(at).string())
-    shell += c == '\'' ? "'\\''" : std::string(1, c);
-  if (std::system(("cd " + shell + "' && gnuplot plot.gnuplot").c_str()) != 0) {
-    throw std::runtime_error("gnuplot can't be run (Debian: gnuplot-nox), or failed on " + folder +
-                             "/plot.gnuplot");
-  }
+  for (const std::string& variant : variants) WriteTextFile(at / (variant + ".dat"), Data(results, variant));
+  WriteTextFile(at / "plot.gnuplot", Script(results, variants));
+  RunGnuplot(at, "plot.gnuplot");
   std::string html = fmt::format(
       "<!doctype html>\n<html><head><meta "
       "charset=\"utf-8\"><title>{0}</title><style>body{{font-family:sans-serif;"
@@ -157,7 +134,7 @@
     for (const std::string& breach : play.breaches)
       html += Escaped(fmt::format("{} (seed {}): {}\n", play.variant, play.seed, breach));
   }
-  Write(at / "report.html", html + "</pre>\n</body></html>\n");
+  WriteTextFile(at / "report.html", html + "</pre>\n</body></html>\n");
 }
 
 }  // namespace elderhead::lab
