--- /dev/null
+++ b/src/lab/scale/scale_plot.cpp
@@ -0,0 +1,159 @@
+#include "lab/scale/scale_plot.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+#include "lab/gnuplot.hpp"
+#include "lab/scale/scale_fit.hpp"
+#include "lab/temporary_folder.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+// Figures that share an axis, by how their names end.
+struct FigureGroup {
+  std::string_view name;
+  std::string_view label;
+  std::vector<std::string_view> endings;
+};
+
+const std::vector<FigureGroup> kGroups{
+    {"processor", "% of a core", {"_percent"}},
+    {"processor-time", "us", {"_us"}},
+    {"traffic", "bytes/s", {"bytes_in_per_s", "bytes_out_per_s"}},
+    {"messages", "messages/s", {"messages_in_per_s", "messages_out_per_s"}},
+    {"size", "bytes", {"bytes_per_change", "bytes_per_whole_list"}},
+    {"memory", "MB", {"_mb"}},
+    {"time", "ms", {"_ms", "_ms_p50", "_ms_p99", "_ms_max"}}};
+
+// One figure of one role: a colour of the chart.
+struct Line {
+  std::string role, figure;
+  std::string points;  // rows of size and value, one a play
+  const ScaleFit* fit = nullptr;
+};
+
+bool IsInGroup(const FigureGroup& group, const std::string& figure) {
+  return std::any_of(group.endings.begin(), group.endings.end(),
+                     [&](std::string_view ending) { return figure.ends_with(ending); });
+}
+
+const ScaleFit* FitOf(const ScaleResult& result, const std::string& role, const std::string& figure) {
+  for (const ScaleFit& fit : result.fits) {
+    if (fit.role == role && fit.figure == figure) return &fit;
+  }
+  return nullptr;
+}
+
+Line& LineOf(std::vector<Line>& lines, const std::string& role, const std::string& figure) {
+  for (Line& line : lines) {
+    if (line.role == role && line.figure == figure) return line;
+  }
+  lines.push_back({role, figure, "", nullptr});
+  return lines.back();
+}
+
+std::vector<Line> LinesOf(const ScaleResult& result, const FigureGroup& group) {
+  std::vector<Line> lines;
+  for (const ScalePoint& point : result.points) {
+    for (const auto& [role, figures] : point.roles) {
+      for (const auto& [figure, values] : figures) {
+        if (!IsInGroup(group, figure)) continue;
+        Line& line = LineOf(lines, role, figure);
+        for (const double value : values) line.points += fmt::format("{:.9g} {:.9g}\n", point.value, value);
+      }
+    }
+  }
+  for (Line& line : lines) line.fit = FitOf(result, line.role, line.figure);
+  return lines;
+}
+
+// As an expression of gnuplot in x.
+std::string Expression(const ScaleFit& fit) {
+  switch (fit.form) {
+    case FitForm::kConstant: return fmt::format("{:.9g}", fit.offset);
+    case FitForm::kLinear: return fmt::format("{:.9g}+{:.9g}*x", fit.offset, fit.slope);
+    case FitForm::kNLogN: return fmt::format("{:.9g}+{:.9g}*x*log(x)", fit.offset, fit.slope);
+    case FitForm::kSquare: return fmt::format("{:.9g}+{:.9g}*x*x", fit.offset, fit.slope);
+  }
+  return "0";
+}
+
+std::string Title(const Line& line) {
+  std::string title = line.role + " " + line.figure;
+  if (line.fit != nullptr) title += fmt::format(" ({})", FitFormName(line.fit->form));
+  return title;
+}
+
+// The sizes that the axis shows. Logarithmic, so from above zero on.
+struct Range {
+  double from = 1, to = 1;
+};
+
+Range RangeOf(const ScaleResult& result) {
+  Range range{std::max(1.0, result.full), std::max({1.0, result.full, result.largest})};
+  for (const ScalePoint& point : result.points) {
+    if (point.value > 0) range.from = std::min(range.from, point.value);
+  }
+  if (range.to <= range.from) range.to = 2 * range.from;
+  return range;
+}
+
+std::string Header(const ScaleResult& result, const FigureGroup& group, const std::filesystem::path& file) {
+  const Range range = RangeOf(result);
+  std::string script =
+      "set terminal svg size 960,360 dynamic background rgb 'white'\nset encoding utf8\n"
+      "set key outside right noenhanced\nset grid ytics lc rgb '#dddddd'\nset samples 400\n"
+      "set logscale x\nset yrange [0:*]\n";
+  script += fmt::format("set output {}\n", GnuplotQuoted(file.string()));
+  script += fmt::format("set title {} noenhanced\n", GnuplotQuoted(result.name + ": " + result.about));
+  script += fmt::format("set xlabel {} noenhanced\n", GnuplotQuoted(result.unit));
+  script += fmt::format("set ylabel {} noenhanced\n", GnuplotQuoted(std::string(group.label)));
+  script += fmt::format("set xrange [{:.9g}:{:.9g}]\n", range.from, range.to);
+  if (result.largest < range.to) {
+    script += fmt::format("set arrow from {0:.9g},graph 0 to {0:.9g},graph 1 nohead lc rgb '#cc8888' dt 2\n",
+                          std::max(result.largest, range.from));
+    script += fmt::format("set label 'largest measured' at {:.9g},graph 0.95 font ',9' tc rgb '#884444'\n",
+                          std::max(result.largest, range.from));
+  }
+  return script;
+}
+
+std::string Script(const ScaleResult& result, const FigureGroup& group, const std::vector<Line>& lines,
+                   const std::filesystem::path& file) {
+  std::string script = Header(result, group, file);
+  std::string plot = "plot ";
+  for (std::size_t i = 0; i < lines.size(); ++i) {
+    script += fmt::format("$line{} << END_OF_POINTS\n{}END_OF_POINTS\n", i, lines[i].points);
+    if (i > 0) plot += ", ";
+    plot += fmt::format("$line{} using 1:2 with points pt 7 ps 0.5 lc {} title {}", i, i + 1,
+                        GnuplotQuoted(Title(lines[i])));
+    if (lines[i].fit == nullptr) continue;
+    plot += fmt::format(", {} with lines lw 2 lc {} notitle", Expression(*lines[i].fit), i + 1);
+  }
+  return script + plot + "\n";
+}
+
+}  // namespace
+
+std::vector<std::filesystem::path> WriteScalePlots(const ScaleResult& result,
+                                                   const std::filesystem::path& folder) {
+  MakeFolder(folder);
+  const TemporaryFolder scripts;
+  std::vector<std::filesystem::path> written;
+  for (const FigureGroup& group : kGroups) {
+    const std::vector<Line> lines = LinesOf(result, group);
+    if (lines.empty()) continue;
+    const auto file = std::filesystem::absolute(folder) / fmt::format("{}-{}.svg", result.name, group.name);
+    const std::string script = fmt::format("{}.gnuplot", group.name);
+    WriteTextFile(scripts.path() / script, Script(result, group, lines, file));
+    RunGnuplot(scripts.path(), script);
+    written.push_back(file);
+  }
+  return written;
+}
+
+}  // namespace elderhead::lab
--- /dev/null
+++ b/src/lab/scale/scale_plot.hpp
@@ -0,0 +1,20 @@
+// Plots of a scale sweep: the measured points of each figure and the fitted curve up to the full size.
+#ifndef ELDERHEAD_LAB_SCALE_SCALE_PLOT_HPP_
+#define ELDERHEAD_LAB_SCALE_SCALE_PLOT_HPP_
+
+#include <filesystem>
+#include <vector>
+
+#include "lab/scale/scale_result.hpp"
+
+namespace elderhead::lab {
+
+// Draws FOLDER/NAME-GROUP.svg for each group of figures (processor, bytes, memory ...) that the result has,
+// by gnuplot, and gives the files written. Blocking; throws std::runtime_error where the folder can't be
+// written or gnuplot can't be run.
+std::vector<std::filesystem::path> WriteScalePlots(const ScaleResult& result,
+                                                   const std::filesystem::path& folder);
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_SCALE_PLOT_HPP_
--- /dev/null
+++ b/src/lab/scale/scale_result.cpp
@@ -0,0 +1,276 @@
+#include "lab/scale/scale_result.hpp"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <utility>
+
+namespace elderhead::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::pair<FitForm, std::string_view> kFormNames[] = {{FitForm::kConstant, "constant"},
+                                                               {FitForm::kLinear, "linear"},
+                                                               {FitForm::kNLogN, "n log n"},
+                                                               {FitForm::kSquare, "square"}};
+
+// A JSON value together with its place in the file, for errors that name the field.
+class Field {
+ public:
+  Field(const json& value, std::string path) : value_(value), path_(std::move(path)) {}
+
+  // A member that has to be there.
+  Field At(const std::string& name) const {
+    RequireObject();
+    const auto found = value_.find(name);
+    if (found == value_.end()) throw ScaleFormatError(Join(name), "missing");
+    return {*found, Join(name)};
+  }
+
+  double Number() const {
+    if (!value_.is_number()) throw ScaleFormatError(path_, "should be a number");
+    const double number = value_.get<double>();
+    if (!std::isfinite(number)) throw ScaleFormatError(path_, "should be a finite number");
+    return number;
+  }
+
+  std::uint64_t Count() const {
+    if (!value_.is_number_unsigned()) throw ScaleFormatError(path_, "should be a whole number from 0 on");
+    return value_.get<std::uint64_t>();
+  }
+
+  unsigned SmallCount() const {
+    const std::uint64_t count = Count();
+    if (count > UINT32_MAX) throw ScaleFormatError(path_, "is too large");
+    return static_cast<unsigned>(count);
+  }
+
+  bool Boolean() const {
+    if (!value_.is_boolean()) throw ScaleFormatError(path_, "should be true or false");
+    return value_.get<bool>();
+  }
+
+  std::string Text() const {
+    if (!value_.is_string()) throw ScaleFormatError(path_, "should be a string");
+    return value_.get<std::string>();
+  }
+
+  FitForm Form() const {
+    const auto form = FitFormFromName(Text());
+    if (!form) throw ScaleFormatError(path_, "should be constant, linear, n log n or square");
+    return *form;
+  }
+
+  // Reads every element of an array.
+  template <typename Read>
+  auto List(Read read) const {
+    if (!value_.is_array()) throw ScaleFormatError(path_, "should be an array");
+    std::vector<decltype(read(*this))> list;
+    for (std::size_t i = 0; i < value_.size(); ++i) {
+      list.push_back(read(Field(value_[i], fmt::format("{}[{}]", path_, i))));
+    }
+    return list;
+  }
+
+  // Reads every member of an object.
+  template <typename Read>
+  auto Map(Read read) const {
+    RequireObject();
+    std::map<std::string, decltype(read(*this))> map;
+    for (const auto& [name, value] : value_.items()) map.emplace(name, read(Field(value, Join(name))));
+    return map;
+  }
+
+  const std::string& path() const { return path_; }
+
+ private:
+  void RequireObject() const {
+    if (!value_.is_object()) throw ScaleFormatError(path_.empty() ? "file" : path_, "should be an object");
+  }
+  std::string Join(const std::string& name) const { return path_.empty() ? name : path_ + "." + name; }
+
+  const json& value_;
+  std::string path_;
+};
+
+double ReadNumber(const Field& field) { return field.Number(); }
+
+PlayValues ReadPlays(const Field& field) { return field.List(ReadNumber); }
+
+RoleFigures ReadRole(const Field& field) { return field.Map(ReadPlays); }
+
+ScalePoint ReadPoint(const Field& field) {
+  ScalePoint point;
+  point.value = field.At("value").Number();
+  point.roles = field.At("roles").Map(ReadRole);
+  return point;
+}
+
+RefusedPoint ReadRefused(const Field& field) {
+  RefusedPoint refused;
+  refused.value = field.At("value").Number();
+  refused.why = field.At("why").Text();
+  return refused;
+}
+
+FitEstimate ReadEstimate(const Field& field) {
+  FitEstimate estimate;
+  estimate.x = field.At("x").Number();
+  estimate.value = field.At("value").Number();
+  estimate.low = field.At("low").Number();
+  estimate.high = field.At("high").Number();
+  estimate.extrapolated = field.At("extrapolated").Boolean();
+  return estimate;
+}
+
+std::map<FitForm, double> ReadResiduals(const Field& field) {
+  std::map<FitForm, double> residuals;
+  for (const auto& [name, value] : field.Map(ReadNumber)) {
+    const auto form = FitFormFromName(name);
+    if (!form) throw ScaleFormatError(field.path() + "." + name, "is no form of a fit");
+    residuals.emplace(*form, value);
+  }
+  return residuals;
+}
+
+ScaleFit ReadFit(const Field& field) {
+  ScaleFit fit;
+  fit.role = field.At("role").Text();
+  fit.figure = field.At("figure").Text();
+  fit.form = field.At("form").Form();
+  fit.offset = field.At("offset").Number();
+  fit.slope = field.At("slope").Number();
+  fit.residual = field.At("residual").Number();
+  fit.r2 = field.At("r2").Number();
+  fit.residuals = ReadResiduals(field.At("residuals"));
+  fit.at_full = ReadEstimate(field.At("at_full"));
+  return fit;
+}
+
+ScaleMachine ReadMachine(const Field& field) {
+  ScaleMachine machine;
+  machine.cores = field.At("cores").SmallCount();
+  machine.memory_mb = field.At("memory_mb").Number();
+  return machine;
+}
+
+StormResult ReadStorm(const Field& field) {
+  StormResult storm;
+  storm.storm = field.At("storm").Text();
+  storm.experiment = field.At("experiment").Text();
+  storm.seed = field.At("seed").Count();
+  storm.plays = field.At("plays").SmallCount();
+  storm.fixed = field.At("fixed").Map(ReadNumber);
+  storm.peak_bytes_per_s = field.At("peak_bytes_per_s").Number();
+  storm.peak_cpu_percent = field.At("peak_cpu_percent").Number();
+  storm.peak_queue = field.At("peak_queue").Number();
+  storm.all_current_ms = field.At("all_current_ms").Number();
+  return storm;
+}
+
+json PointToJson(const ScalePoint& point) { return {{"value", point.value}, {"roles", point.roles}}; }
+
+json RefusedToJson(const RefusedPoint& refused) { return {{"value", refused.value}, {"why", refused.why}}; }
+
+json EstimateToJson(const FitEstimate& estimate) {
+  return {{"x", estimate.x},
+          {"value", estimate.value},
+          {"low", estimate.low},
+          {"high", estimate.high},
+          {"extrapolated", estimate.extrapolated}};
+}
+
+json FitToJson(const ScaleFit& fit) {
+  json residuals = json::object();
+  for (const auto& [form, residual] : fit.residuals) residuals[std::string(FitFormName(form))] = residual;
+  return {{"role", fit.role},     {"figure", fit.figure},   {"form", FitFormName(fit.form)},
+          {"offset", fit.offset}, {"slope", fit.slope},     {"residual", fit.residual},
+          {"r2", fit.r2},         {"residuals", residuals}, {"at_full", EstimateToJson(fit.at_full)}};
+}
+
+json StormToJson(const StormResult& storm) {
+  return {{"storm", storm.storm},
+          {"experiment", storm.experiment},
+          {"seed", storm.seed},
+          {"plays", storm.plays},
+          {"fixed", storm.fixed},
+          {"peak_bytes_per_s", storm.peak_bytes_per_s},
+          {"peak_cpu_percent", storm.peak_cpu_percent},
+          {"peak_queue", storm.peak_queue},
+          {"all_current_ms", storm.all_current_ms}};
+}
+
+template <typename Item>
+json ListToJson(const std::vector<Item>& items, json (*to_json)(const Item&)) {
+  json list = json::array();
+  for (const Item& item : items) list.push_back(to_json(item));
+  return list;
+}
+
+}  // namespace
+
+std::string_view FitFormName(FitForm form) {
+  for (const auto& [known, name] : kFormNames) {
+    if (known == form) return name;
+  }
+  return "";
+}
+
+std::optional<FitForm> FitFormFromName(std::string_view name) {
+  for (const auto& [form, known] : kFormNames) {
+    if (known == name) return form;
+  }
+  return std::nullopt;
+}
+
+json ToJson(const ScaleResult& result) {
+  return {{"experiment", result.experiment},
+          {"name", result.name},
+          {"about", result.about},
+          {"axis", result.axis},
+          {"unit", result.unit},
+          {"full", result.full},
+          {"largest", result.largest},
+          {"limited_by", result.limited_by},
+          {"seed", result.seed},
+          {"plays", result.plays},
+          {"revision", result.revision},
+          {"machine", {{"cores", result.machine.cores}, {"memory_mb", result.machine.memory_mb}}},
+          {"fixed", result.fixed},
+          {"points", ListToJson(result.points, PointToJson)},
+          {"refused", ListToJson(result.refused, RefusedToJson)},
+          {"fits", ListToJson(result.fits, FitToJson)}};
+}
+
+ScaleResult FromJson(const json& json) {
+  const Field file(json, "");
+  ScaleResult result;
+  result.experiment = file.At("experiment").Text();
+  result.name = file.At("name").Text();
+  result.about = file.At("about").Text();
+  result.axis = file.At("axis").Text();
+  result.unit = file.At("unit").Text();
+  result.full = file.At("full").Number();
+  result.largest = file.At("largest").Number();
+  result.limited_by = file.At("limited_by").Text();
+  result.seed = file.At("seed").Count();
+  result.plays = file.At("plays").SmallCount();
+  result.revision = file.At("revision").Text();
+  result.machine = ReadMachine(file.At("machine"));
+  result.fixed = file.At("fixed").Map(ReadNumber);
+  result.points = file.At("points").List(ReadPoint);
+  result.refused = file.At("refused").List(ReadRefused);
+  result.fits = file.At("fits").List(ReadFit);
+  return result;
+}
+
+json StormsToJson(const std::vector<StormResult>& storms) {
+  return {{"storms", ListToJson(storms, StormToJson)}};
+}
+
+std::vector<StormResult> StormsFromJson(const json& json) {
+  return Field(json, "").At("storms").List(ReadStorm);
+}
+
+}  // namespace elderhead::lab
--- /dev/null
+++ b/src/lab/scale/scale_result.hpp
@@ -0,0 +1,123 @@
+// The result of a scale sweep: what each role cost at each point of one axis, and the fits over these points.
+// No I/O. Thread-compatible: plain values.
+#ifndef ELDERHEAD_LAB_SCALE_SCALE_RESULT_HPP_
+#define ELDERHEAD_LAB_SCALE_SCALE_RESULT_HPP_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace elderhead::lab {
+
+// How a cost y grows with the size x.
+enum class FitForm {
+  kConstant,  // y = offset
+  kLinear,    // y = offset + slope * x
+  kNLogN,     // y = offset + slope * x * ln(x)
+  kSquare     // y = offset + slope * x * x
+};
+
+inline constexpr FitForm kAllFitForms[] = {FitForm::kConstant, FitForm::kLinear, FitForm::kNLogN,
+                                           FitForm::kSquare};
+
+// The name in files: "constant", "linear", "n log n" or "square".
+std::string_view FitFormName(FitForm form);
+// Nothing for a name that is none of these.
+std::optional<FitForm> FitFormFromName(std::string_view name);
+
+// The fitted value at one size, with its prediction interval of 95%. In the figure's unit.
+struct FitEstimate {
+  double x = 0;
+  double value = 0;
+  double low = 0, high = 0;
+  bool extrapolated = false;  // x lies beyond the largest point measured
+};
+
+// One figure of one role over the axis.
+struct ScaleFit {
+  std::string role, figure;
+  FitForm form = FitForm::kLinear;
+  double offset = 0, slope = 0;         // neither is ever negative
+  double residual = 0;                  // root mean square over the mean of the figure
+  double r2 = 0;                        // share of the variance that the form explains
+  std::map<FitForm, double> residuals;  // of every form that was tried
+  FitEstimate at_full;
+};
+
+// The values of one figure, one a play.
+using PlayValues = std::vector<double>;
+// The figures of one role by their names, which end with their unit.
+using RoleFigures = std::map<std::string, PlayValues>;
+
+struct ScalePoint {
+  double value = 0;  // on the axis
+  std::map<std::string, RoleFigures> roles;
+};
+
+// A point of the axis at which the program under test did not run.
+struct RefusedPoint {
+  double value = 0;
+  std::string why;
+};
+
+struct ScaleMachine {
+  unsigned cores = 0;
+  double memory_mb = 0;
+};
+
+struct ScaleResult {
+  std::string experiment, name, about;
+  std::string axis, unit;
+  double full = 0;         // the size in two years
+  double largest = 0;      // the largest point measured
+  std::string limited_by;  // why largest is below full; empty if it is not
+  std::uint64_t seed = 0;
+  unsigned plays = 0;
+  std::string revision;
+  ScaleMachine machine;
+  std::map<std::string, double> fixed;  // what stayed the same over the points
+  std::vector<ScalePoint> points;
+  std::vector<RefusedPoint> refused;
+  std::vector<ScaleFit> fits;
+};
+
+// What one storm (everyone comes at once) cost the role it hit.
+struct StormResult {
+  std::string storm, experiment;
+  std::uint64_t seed = 0;
+  unsigned plays = 0;
+  std::map<std::string, double> fixed;  // sizes at which it was played
+  double peak_bytes_per_s = 0;
+  double peak_cpu_percent = 0;  // of one core
+  double peak_queue = 0;
+  double all_current_ms = 0;  // until everyone had the newest state
+};
+
+// A file that is no result. what() names the field, as in "points[2].roles: should be an object".
+class ScaleFormatError : public std::runtime_error {
+ public:
+  ScaleFormatError(std::string field, const std::string& problem)
+      : std::runtime_error(field + ": " + problem), field_(std::move(field)) {}
+  const std::string& field() const { return field_; }
+
+ private:
+  std::string field_;
+};
+
+nlohmann::json ToJson(const ScaleResult& result);
+// Throws ScaleFormatError.
+ScaleResult FromJson(const nlohmann::json& json);
+
+// The whole of storms.json: {"storms": [...]}.
+nlohmann::json StormsToJson(const std::vector<StormResult>& storms);
+// Throws ScaleFormatError.
+std::vector<StormResult> StormsFromJson(const nlohmann::json& json);
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_SCALE_RESULT_HPP_
--- /dev/null
+++ b/tests/scale_fit_test.cpp
@@ -0,0 +1,283 @@
+// The fits of a scale sweep, the form of its result in files, and its plots.
+#include "lab/scale/scale_fit.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "lab/scale/scale_plot.hpp"
+#include "lab/scale/scale_result.hpp"
+#include "lab/temporary_folder.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+using nlohmann::json;
+
+const std::vector<double> kSizes{12, 100, 500, 1000, 2500, 5000, 10000};
+constexpr double kFull = 25000;
+constexpr std::uint64_t kSeed = 1;
+
+// A cost of a known form with noise that is relative to it.
+struct Planted {
+  FitForm form = FitForm::kLinear;
+  double offset = 0, slope = 0;
+
+  double At(double x) const {
+    ScaleFit fit;
+    fit.form = form;
+    fit.offset = offset;
+    fit.slope = slope;
+    return ValueAt(fit, x);
+  }
+};
+
+std::vector<PlayValues> Plays(const Planted& planted, double noise, std::size_t plays,
+                              std::mt19937_64& random) {
+  std::normal_distribution<double> normal(0, 1);
+  std::vector<PlayValues> all;
+  for (const double x : kSizes) {
+    PlayValues values;
+    for (std::size_t i = 0; i < plays; ++i) values.push_back(planted.At(x) * (1 + noise * normal(random)));
+    all.push_back(std::move(values));
+  }
+  return all;
+}
+
+std::vector<PlayValues> Exact(const Planted& planted) {
+  std::mt19937_64 random(kSeed);
+  return Plays(planted, 0, 2, random);
+}
+
+FitProblem ProblemOf(const std::vector<double>& sizes, const std::vector<PlayValues>& plays) {
+  try {
+    FitFigure(sizes, plays, kFull);
+  } catch (const FitError& error) {
+    return error.problem();
+  }
+  throw std::logic_error("no FitError was thrown");
+}
+
+TEST(ScaleFit, FindsAKnownSlope) {
+  const ScaleFit fit = FitFigure(kSizes, Exact({FitForm::kLinear, 0.8, 0.0007}), kFull);
+  EXPECT_EQ(fit.form, FitForm::kLinear);
+  EXPECT_NEAR(fit.offset, 0.8, 1e-9);
+  EXPECT_NEAR(fit.slope, 0.0007, 1e-12);
+  EXPECT_NEAR(fit.residual, 0, 1e-9);
+  EXPECT_NEAR(fit.r2, 1, 1e-9);
+  EXPECT_NEAR(fit.at_full.value, 18.3, 1e-6);
+  EXPECT_NEAR(fit.at_full.low, fit.at_full.high, 1e-6);
+  EXPECT_TRUE(fit.at_full.extrapolated);
+  EXPECT_FALSE(FitFigure(kSizes, Exact({FitForm::kLinear, 0.8, 0.0007}), 10000).at_full.extrapolated);
+}
+
+TEST(ScaleFit, FindsAPlantedSquareAmongNoise) {
+  std::printf("seed %llu\n", static_cast<unsigned long long>(kSeed));
+  std::mt19937_64 random(kSeed);
+  const Planted planted{FitForm::kSquare, 3, 2e-6};
+  const ScaleFit fit = FitFigure(kSizes, Plays(planted, 0.05, 3, random), kFull);
+  EXPECT_EQ(fit.form, FitForm::kSquare);
+  EXPECT_NEAR(fit.slope, 2e-6, 2e-7);
+  EXPECT_GT(fit.residuals.at(FitForm::kLinear), 2 * fit.residual);
+  EXPECT_EQ(fit.residuals.size(), std::size(kAllFitForms));
+}
+
+TEST(ScaleFit, TakesAConstantWhereNothingGrows) {
+  std::mt19937_64 random(kSeed);
+  const ScaleFit fit = FitFigure(kSizes, Plays({FitForm::kConstant, 5, 0}, 0.02, 3, random), kFull);
+  EXPECT_EQ(fit.form, FitForm::kConstant);
+  EXPECT_NEAR(fit.at_full.value, 5, 0.1);
+  EXPECT_EQ(FitFigure(kSizes, Exact({FitForm::kConstant, 0, 0}), kFull).at_full.value, 0);
+}
+
+TEST(ScaleFit, NeverGivesANegativeCost) {
+  // A line through these would cut below zero at small sizes, and the second one at the full size.
+  const ScaleFit rising = FitFigure({10, 1000, 2000}, {{0.1}, {1}, {30}}, kFull);
+  EXPECT_GE(rising.offset, 0);
+  EXPECT_GE(rising.slope, 0);
+  const ScaleFit falling = FitFigure({10, 1000, 2000}, {{9}, {6}, {3}}, kFull);
+  EXPECT_EQ(falling.form, FitForm::kConstant);
+  EXPECT_NEAR(falling.at_full.value, 6, 1e-9);
+  EXPECT_GE(falling.at_full.low, 0);
+}
+
+// The interval is one of 95%: the truth should lie outside in no more than a twentieth of the sweeps.
+TEST(ScaleFit, HoldsTheTruthWithinItsSpread) {
+  std::printf("seed %llu\n", static_cast<unsigned long long>(kSeed));
+  std::mt19937_64 random(kSeed);
+  const Planted planted{FitForm::kLinear, 400, 0.02};
+  constexpr int kSweeps = 1000;
+  int held = 0, of_the_form = 0;
+  for (int i = 0; i < kSweeps; ++i) {
+    const ScaleFit fit = FitFigure(kSizes, Plays(planted, 0.05, 3, random), kFull);
+    of_the_form += fit.form == FitForm::kLinear ? 1 : 0;
+    held += fit.at_full.low <= planted.At(kFull) && planted.At(kFull) <= fit.at_full.high ? 1 : 0;
+  }
+  std::printf("%d of %d within the interval, %d of the planted form\n", held, kSweeps, of_the_form);
+  EXPECT_GE(held, kSweeps * 95 / 100);
+  EXPECT_GE(of_the_form, kSweeps * 95 / 100);
+}
+
+TEST(ScaleFit, NoisierPlaysWidenTheSpread) {
+  std::mt19937_64 random(kSeed);
+  const Planted planted{FitForm::kLinear, 400, 0.02};
+  const ScaleFit quiet = FitFigure(kSizes, Plays(planted, 0.01, 3, random), kFull);
+  const ScaleFit noisy = FitFigure(kSizes, Plays(planted, 0.10, 3, random), kFull);
+  EXPECT_GT(noisy.at_full.high - noisy.at_full.low, 3 * (quiet.at_full.high - quiet.at_full.low));
+}
+
+TEST(ScaleFit, RefusesDegenerateInputByName) {
+  EXPECT_EQ(ProblemOf({1, 2}, {{1}, {2}}), FitProblem::kTooFewPoints);
+  EXPECT_EQ(ProblemOf({7, 7, 7}, {{1}, {2}, {3}}), FitProblem::kSameSize);
+  EXPECT_EQ(ProblemOf({1, 2, 3}, {{1}, {2}}), FitProblem::kLengthsDiffer);
+  EXPECT_EQ(ProblemOf({1, 2, 3}, {{1}, {}, {2}}), FitProblem::kNoPlays);
+  EXPECT_EQ(ProblemOf({1, 2, 3}, {{1}, {std::nan("")}, {2}}), FitProblem::kNotFinite);
+  EXPECT_EQ(ProblemOf({-1, 2, 3}, {{1}, {1}, {2}}), FitProblem::kNotFinite);
+}
+
+Planted DrawPlanted() {
+  Planted planted;
+  planted.form = *rc::gen::elementOf(std::vector<FitForm>(std::begin(kAllFitForms), std::end(kAllFitForms)));
+  planted.slope = planted.form == FitForm::kConstant ? 0 : *rc::gen::inRange(1, 1000) * 1e-3;
+  // What grows is at least as much as what stands, at the largest point measured.
+  const double grown = planted.form == FitForm::kConstant ? 100 : planted.At(kSizes.back());
+  planted.offset = grown * *rc::gen::inRange(0, 100) / 100 + (planted.form == FitForm::kConstant ? 1 : 0);
+  return planted;
+}
+
+RC_GTEST_PROP(ScaleFitProperty, FindsTheTrueFormWithSmallNoise, ()) {
+  const Planted planted = DrawPlanted();
+  std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+  const ScaleFit fit = FitFigure(kSizes, Plays(planted, 0.002, 3, random), kFull);
+  // By the definition of the test for a slope, a flat cost passes for a line now and then.
+  if (planted.form == FitForm::kConstant && fit.form != FitForm::kConstant) {
+    RC_ASSERT(std::abs(fit.at_full.value - planted.offset) < 0.05 * planted.offset);
+    return;
+  }
+  RC_ASSERT(fit.form == planted.form);
+  RC_ASSERT(std::abs(fit.slope - planted.slope) <= 0.02 * planted.slope);
+}
+
+RC_GTEST_PROP(ScaleFitProperty, IsInvariantToTheUnitOfTheFigure, ()) {
+  const Planted planted = DrawPlanted();
+  std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+  const double factor = std::pow(2.0, *rc::gen::inRange(-20, 20));
+  const auto plays = Plays(planted, 0.03, 3, random);
+  auto scaled = plays;
+  for (PlayValues& values : scaled) {
+    for (double& value : values) value *= factor;
+  }
+  const ScaleFit one = FitFigure(kSizes, plays, kFull);
+  const ScaleFit other = FitFigure(kSizes, scaled, kFull);
+  const auto near = [](double a, double b) { return std::abs(a - b) <= 1e-9 * (1e-9 + std::abs(a)); };
+  RC_ASSERT(one.form == other.form);
+  RC_ASSERT(near(one.slope * factor, other.slope));
+  RC_ASSERT(near(one.at_full.value * factor, other.at_full.value));
+  RC_ASSERT(near(one.at_full.high * factor, other.at_full.high));
+  RC_ASSERT(near(one.residual, other.residual));
+}
+
+RC_GTEST_PROP(ScaleFitProperty, GivesNoNegativeCostWhateverWasMeasured, ()) {
+  std::vector<PlayValues> plays;
+  for (std::size_t i = 0; i < kSizes.size(); ++i) plays.push_back({*rc::gen::inRange(-10, 1000) * 0.1});
+  const ScaleFit fit = FitFigure(kSizes, plays, kFull);
+  RC_ASSERT(fit.offset >= 0);
+  RC_ASSERT(fit.slope >= 0);
+  RC_ASSERT(fit.at_full.low >= 0);
+  RC_ASSERT(fit.at_full.low <= fit.at_full.value);
+  RC_ASSERT(fit.at_full.value <= fit.at_full.high);
+}
+
+ScaleResult Sample() {
+  ScaleResult result;
+  result.experiment = "experiments/scale/sample.toml";
+  result.name = "sample";
+  result.about = "a sample with 'quotes'";
+  result.axis = result.unit = "hosts";
+  result.full = kFull;
+  result.largest = kSizes.back();
+  result.limited_by = "memory";
+  result.seed = 7;
+  result.plays = 2;
+  result.machine = {8, 24000};
+  result.fixed = {{"gateways_real", 1}};
+  const auto plays = Exact({FitForm::kLinear, 0.8, 0.0007});
+  for (std::size_t i = 0; i < kSizes.size(); ++i) {
+    result.points.push_back(
+        {kSizes[i], {{"gateway", {{"cpu_idle_percent", plays[i]}, {"memory_mb", {5, 6}}}}}});
+  }
+  result.points.front().roles["gateway"]["ready_ms"] = {12, 13};  // at one point only: no fit
+  result.refused = {{73000, "list index too large"}};
+  result.fits = FitAllFigures(result);
+  return result;
+}
+
+// The message for a sample that was changed before it was read.
+template <typename Change>
+std::string ErrorAfter(Change change) {
+  json changed = ToJson(Sample());
+  change(changed);
+  try {
+    FromJson(changed);
+  } catch (const ScaleFormatError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(ScaleResult, IsTheSameAfterJson) {
+  const ScaleResult result = Sample();
+  EXPECT_EQ(result.fits.size(), 2U);
+  const json written = ToJson(result);
+  const ScaleResult read = FromJson(json::parse(written.dump(1)));
+  EXPECT_EQ(ToJson(read), written);
+  EXPECT_EQ(read.fits.at(0).role, "gateway");
+  EXPECT_EQ(read.fits.at(0).figure, "cpu_idle_percent");
+  EXPECT_EQ(read.fits.at(0).slope, result.fits.at(0).slope);
+  EXPECT_EQ(read.refused.at(0).why, "list index too large");
+}
+
+TEST(ScaleResult, AMalformedFileNamesTheField) {
+  EXPECT_EQ(ErrorAfter([](json& j) { j.erase("axis"); }), "axis: missing");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["full"] = "many"; }), "full: should be a number");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["seed"] = -1; }), "seed: should be a whole number from 0 on");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["points"][2]["roles"] = 3; }), "points[2].roles: should be an object");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["points"][1]["roles"]["gateway"]["memory_mb"][1] = nullptr; }),
+            "points[1].roles.gateway.memory_mb[1]: should be a number");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["fits"][0]["form"] = "cubic"; }),
+            "fits[0].form: should be constant, linear, n log n or square");
+  EXPECT_EQ(ErrorAfter([](json& j) { j["fits"][0]["residuals"]["cubic"] = 1; }),
+            "fits[0].residuals.cubic: is no form of a fit");
+  EXPECT_EQ(ErrorAfter([](json& j) { j = json::array(); }), "file: should be an object");
+}
+
+TEST(ScaleResult, StormsAreTheSameAfterJson) {
+  const std::vector<StormResult> storms{
+      {"zone_starts", "experiments/scale/storms.toml", 3, 1, {{"gateways", 400}}, 1e6, 80, 40, 900}};
+  const json written = StormsToJson(storms);
+  EXPECT_EQ(StormsToJson(StormsFromJson(written)), written);
+  EXPECT_EQ(written["storms"][0]["peak_queue"], 40);
+  EXPECT_THROW(StormsFromJson(json{{"storms", json::array({{{"storm", "zone_starts"}}})}}), ScaleFormatError);
+}
+
+TEST(ScalePlot, DrawsOneFileAGroupOfFigures) {
+  const TemporaryFolder folder;
+  const auto files = WriteScalePlots(Sample(), folder.path() / "it's");
+  ASSERT_EQ(files.size(), 3U);
+  EXPECT_EQ(files[0].filename(), "sample-processor.svg");
+  EXPECT_EQ(files[1].filename(), "sample-memory.svg");
+  EXPECT_EQ(files[2].filename(), "sample-time.svg");
+  std::stringstream text;
+  text << std::ifstream(files[0]).rdbuf();
+  EXPECT_NE(text.str().find("gateway cpu_idle_percent (linear)"), std::string::npos);
+  EXPECT_NE(text.str().find("largest measured"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace elderhead::lab
