Capacity page: worked out by a script from measured slopes, budgets and assumptions

Need: what each part takes at the size in two years, and how far today's design is from its budget, has to follow from measurements, and to change with them. The list of misses is sorted by the script; a sum of which a part is not measured is never called within its budget.

--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -16,10 +16,17 @@
 test "$lines" -le 1200
 if grep -nE '^.{111,}' "${policy[@]}"; then echo "lines of more than 110 characters"; exit 1; fi
 
+black --check tools tests/*.py
+mypy tools/capacity.py tools/capacity_model tests/capacity_test.py
+
 step "the scripts that judge"
 bash tests/ctest_known_red_test.sh
 bash tests/regression_test.sh
 
+step "the capacity page against the committed results"
+python3 tests/capacity_test.py
+python3 tools/capacity.py --check
+
 step "build by deploy/balancer.toml"
 bash -c "$(setting build)"
 
--- /dev/null
+++ b/tools/capacity_model/page.py
@@ -0,0 +1,149 @@
+"""Rendering the page: the template's placeholders, and the tables of what it rests on."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+from capacity_model.assumptions import Number, StormPlan
+from capacity_model.errors import CapacityError
+from capacity_model.misses import misses
+from capacity_model.model import Model
+from capacity_model.results import Storm, Sweep
+from capacity_model.role_table import role_table
+from capacity_model.sources import plays_text
+from capacity_model.text import NOT_MEASURED, number, quantity, table
+
+_PLACEHOLDER = re.compile(r"\{\{\s*([^}]*?)\s*\}\}")
+
+
+def render(template: str, model: Model) -> str:
+    """The template with every placeholder filled. An unknown one is an error that names it."""
+    blocks: dict[str, Callable[[], str]] = {
+        "generated": _generated,
+        "misses": lambda: misses(model),
+        "sweeps": lambda: sweeps_table(model),
+        "refused": lambda: refused_points(model),
+        "storms": lambda: storms_table(model),
+        "sizes": lambda: numbers_table(model.assumptions.sizes),
+        "budgets": lambda: numbers_table(model.assumptions.budgets),
+        "assumed": lambda: numbers_table(model.assumptions.assumed),
+        "derived": lambda: derived_table(model),
+    }
+    for role in model.assumptions.roles:
+        blocks[f"table.{role.id}"] = lambda role=role: role_table(model, role)  # type: ignore[misc]
+
+    def fill(match: re.Match[str]) -> str:
+        name = match.group(1)
+        if name in blocks:
+            return blocks[name]()
+        if name.startswith("value."):
+            return _value(model, name)
+        raise CapacityError(f"unknown placeholder '{name}'")
+
+    return _PLACEHOLDER.sub(fill, template)
+
+
+def sweeps_table(model: Model) -> str:
+    """Which sweeps the page rests on."""
+    rows = [
+        ["sweep", "axis", "full", "largest measured", "limited by", "held fixed", "seed", "plays", "machine"]
+    ]
+    for sweep in model.results.sweeps.values():
+        rows.append(
+            [
+                f"[{sweep.name}](results/scale/{sweep.name}.json) (`{sweep.experiment}`)",
+                sweep.axis,
+                number(sweep.full),
+                number(sweep.largest) + _saturated(sweep),
+                sweep.limited_by,
+                ", ".join(f"{name} {number(value)}" for name, value in sorted(sweep.fixed.items())),
+                str(sweep.seed),
+                str(sweep.plays),
+                f"{sweep.cores} cores, {number(sweep.memory_mb)} MB",
+            ]
+        )
+    wanted = {measured.sweep for measured in model.assumptions.measured.values()}
+    for name in sorted(wanted - set(model.results.sweeps)):
+        rows.append([name, "", "", NOT_MEASURED, "", "", "", "", ""])
+    return table(rows)
+
+
+def refused_points(model: Model) -> str:
+    """Sizes at which the program did not run."""
+    lines = [
+        f"- {sweep.name}: {number(value)} {sweep.unit}: {why}"
+        for sweep in model.results.sweeps.values()
+        for value, why in sorted(sweep.refused.items())
+    ]
+    return "\n".join(lines) if lines else "No sweep has a point that was refused."
+
+
+def storms_table(model: Model) -> str:
+    """Every storm that the page speaks of: as played, or with what is assumed of it."""
+    rows = [
+        [
+            "storm",
+            "played at",
+            "peak bytes/s",
+            "peak % of a core",
+            "peak queue",
+            "all current after, ms",
+            "from",
+        ]
+    ]
+    for plan in model.assumptions.storms:
+        rows.append(_storm_row(plan, model.results.storms.get(plan.name)))
+    return table(rows)
+
+
+def numbers_table(numbers: dict[str, Number]) -> str:
+    """A table of given or assumed numbers."""
+    rows = [["name", "value", "unit", "about"]]
+    rows += [[f"`{name}`", number(n.value), n.unit, n.about] for name, n in numbers.items()]
+    return table(rows)
+
+
+def derived_table(model: Model) -> str:
+    """Numbers worked out from others."""
+    rows = [["name", "value", "unit", "worked out as", "about"]]
+    for name, derived in model.assumptions.derived.items():
+        rows.append(
+            [f"`{name}`", quantity(model.look_up(name)), derived.unit, f"`{derived.formula}`", derived.about]
+        )
+    return table(rows)
+
+
+def _generated() -> str:
+    return "<!-- Written by tools/capacity.py from docs/capacity/ and docs/results/scale/: change those, not this. -->"
+
+
+def _value(model: Model, placeholder: str) -> str:
+    name = placeholder.removeprefix("value.")
+    try:
+        value = model.look_up(name)
+    except CapacityError as error:
+        raise CapacityError(f"unknown placeholder '{placeholder}'") from error
+    return quantity(value)
+
+
+def _saturated(sweep: Sweep) -> str:
+    if not sweep.saturated:
+        return ""
+    points = ", ".join(number(value) for value in sweep.saturated)
+    return f" (the measuring tool itself was saturated at {points})"
+
+
+def _storm_row(plan: StormPlan, storm: Storm | None) -> list[str]:
+    if storm is None:
+        return [plan.title, "not played", NOT_MEASURED, NOT_MEASURED, NOT_MEASURED, NOT_MEASURED,
+                f"**assumed**: {plan.assumed}"]  # fmt: skip
+    return [
+        plan.title,
+        ", ".join(f"{name} {number(value)}" for name, value in sorted(storm.fixed.items())),
+        number(storm.peak_bytes_per_s),
+        number(storm.peak_cpu_percent),
+        number(storm.peak_queue),
+        number(storm.all_current_ms),
+        f"[`{storm.experiment}`](results/scale/storms.json), {plays_text(storm.seed, storm.plays)}",
+    ]
--- /dev/null
+++ b/tools/capacity_model/role_table.py
@@ -0,0 +1,69 @@
+"""The table of one role, and the texts of a figure that the list of misses shares with it."""
+
+from __future__ import annotations
+
+from capacity_model.assumptions import Role
+from capacity_model.model import FigureValue, Model, TermValue
+from capacity_model.sources import slopes, sources
+from capacity_model.text import NOT_MEASURED, quantity, table
+
+
+def role_table(model: Model, role: Role) -> str:
+    """The table of one role at full size: a row a term, and a row for the sum of several."""
+    rows = [["figure", "part", "at full size", "slope", "from", "allowed", "factor"]]
+    rows.append(["state", role.state, "", "", "", "", ""])
+    for figure in role.figures:
+        value = model.figure_value(role, figure)
+        rows += _figure_rows(model, value)
+    return table(rows)
+
+
+def total_text(value: FigureValue) -> str:
+    """The sum of a figure's known terms; "at least" where one is not known."""
+    if not value.known:
+        return NOT_MEASURED
+    text = quantity(value.total)
+    return text if value.complete else f"at least {text}"
+
+
+def allowed_text(value: FigureValue) -> str:
+    """What a figure may take."""
+    if value.allowed is None:
+        return "nothing laid down"
+    text = quantity(value.allowed)
+    return f"{text}, **assumed**" if value.allowed.assumed else text
+
+
+def factor_text(value: FigureValue) -> str:
+    """The figure over what it may take."""
+    if value.allowed is None:
+        return ""
+    if value.factor is None:
+        return NOT_MEASURED
+    text = quantity(value.factor)
+    return text if value.complete else f"at least {text}"
+
+
+def _figure_rows(model: Model, value: FigureValue) -> list[list[str]]:
+    figure = value.figure
+    title = f"{figure.resource}, {figure.unit}" + ("" if figure.built else " (planned)")
+    allowed = allowed_text(value)
+    if len(value.terms) == 1:
+        term = value.terms[0]
+        return [_term_row(model, title, term, allowed, factor_text(value))]
+    rows = [_term_row(model, title, value.terms[0], "", "")]
+    rows += [_term_row(model, "", term, "", "") for term in value.terms[1:]]
+    rows.append(["", "**together**", f"**{total_text(value)}**", "", "", allowed, factor_text(value)])
+    return rows
+
+
+def _term_row(model: Model, title: str, term: TermValue, allowed: str, factor: str) -> list[str]:
+    return [
+        title,
+        term.term.what,
+        quantity(term.value),
+        slopes(model, term.value),
+        sources(model, term.value),
+        allowed,
+        factor,
+    ]
