--- a/src/lab/scale/scale_fit.cpp
+++ b/src/lab/scale/scale_fit.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::size_t kLeastPoints = 3;
-constexpr double kClearlyBetter = 0.75;     // of the line's residual, for a form more complex than the line
-constexpr double kSlopeStandardErrors = 2;  // a slope below this many is not told apart from none
+constexpr double kClearlyBetter = 0.75;     // of another form's residual
+constexpr double kGoodEnough = 0.005;       // a line of a smaller residual is not replaced by a curve
+constexpr double kSlopeStandardErrors = 2;  // a slope above this many is told apart from none
 constexpr double kExact = 1e-9;             // a residual below this is rounding
 constexpr double kConfidence = 0.95;
 
@@ -122,12 +123,14 @@
   return std::sqrt(curve.squares / sums.weight) / scale;
 }
 
-// Whether the line's slope is told apart from zero: an F test of the line against the constant.
-bool HasSlope(const Curve& constant, const Curve& line, std::size_t points) {
-  if (line.slope <= 0) return false;
-  const double left = static_cast<double>(points) - FreeParameters(line);
-  const double gained = constant.squares - line.squares;
-  return gained * left > kSlopeStandardErrors * kSlopeStandardErrors * line.squares;
+// Whether growth is told apart from none: by an F test against the constant, or by a clearly smaller
+// residual. Few points seldom pass the former; a slope that is left out costs more here than one too many.
+bool Grows(const Curve& constant, const Curve& grown, std::size_t points) {
+  if (grown.slope <= 0) return false;
+  const double left = static_cast<double>(points) - FreeParameters(grown);
+  const double gained = constant.squares - grown.squares;
+  if (gained * left > kSlopeStandardErrors * kSlopeStandardErrors * grown.squares) return true;
+  return std::sqrt(grown.squares) < kClearlyBetter * std::sqrt(constant.squares);
 }
 
 const Curve& Choose(const std::vector<Curve>& curves, const std::map<FitForm, double>& residuals,
@@ -141,9 +144,9 @@
   const Curve& curved = of(n_log_n ? FitForm::kNLogN : FitForm::kSquare);
   if (residuals.at(FitForm::kConstant) < kExact) return constant;
   const double of_line = residuals.at(FitForm::kLinear);
-  if (of_line < kExact) return line;
-  const Curve& grown = residuals.at(curved.form) < kClearlyBetter * of_line ? curved : line;
-  return HasSlope(constant, grown, points) ? grown : constant;
+  const bool bent = of_line > kGoodEnough && residuals.at(curved.form) < kClearlyBetter * of_line;
+  const Curve& grown = bent ? curved : line;
+  return Grows(constant, grown, points) ? grown : constant;
 }
 
 // The variance of one play, and with how many degrees of freedom it is known.
--- a/src/lab/scale/scale_fit.hpp
+++ b/src/lab/scale/scale_fit.hpp
@@ -32,8 +32,9 @@
 // Fits `plays[i]` (the figure's values at sizes[i], one a play) over `sizes` (from 0 on) and extrapolates to
 // `full`. Leaves role and figure empty. Offset and slope are never negative: a fall is fitted as a constant.
 //
-// A straight line is taken unless another form is clearly better: a constant where the slope is within two
-// standard errors of zero, n log n or the square where its residual is below three quarters of the line's.
+// A straight line is taken unless another form is clearly better: n log n or the square where the line's
+// residual is above 0.5% and theirs below three quarters of it; a constant where the slope is within two
+// standard errors of zero and the line's residual is not below three quarters of the constant's.
 //
 // The interval of at_full is that of a prediction (95%, Student's t) for the mean of as many plays. Its
 // variance is the larger of that of the points about the curve and that of the plays about their points, the
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -70,6 +70,17 @@
         self.assertIn("| 0.06 (0.055 to 0.065) |", self.row(page, "|  | changes |"))
         self.assertIn("**assumed**: `peak_factor`", self.row(page, "|  | changes |"))
 
+    def test_a_form_that_is_no_line_is_written_out(self) -> None:
+        def bend(content: dict[str, Any]) -> None:
+            content["fits"][2].update(form="n log n", slope=0.0001)
+
+        self.assertIn("list_service cpu_rest_percent: 0.0012 · hosts, residual", self.write_page())
+        self.change_result(bend)
+        row = self.row(self.write_page(), "| processor, % of a core | renewals |")
+        self.assertIn(
+            "| 25.3 (22.3 to 28.3) | list_service cpu_rest_percent: 0.0001 · hosts · ln(hosts), residual", row
+        )
+
     def test_growth_for_one_host_leaves_the_offset_out(self) -> None:
         row = self.row(self.write_page(), "| renewals of a host, messages/s |")
         self.assertIn("| renewals | 0.3 | list_service messages_in_per_s: 2 + 0.3 · hosts", row)
--- a/tests/scale_fit_test.cpp
+++ b/tests/scale_fit_test.cpp
@@ -96,6 +96,20 @@
   EXPECT_EQ(FitFigure(kSizes, Exact({FitForm::kConstant, 0, 0}), kFull).at_full.value, 0);
 }
 
+TEST(ScaleFit, KeepsASlopeThatFewPointsHardlyShow) {
+  // Rising all along, though within two standard errors of zero: left out, the full size would cost as much
+  // as these.
+  const ScaleFit fit = FitFigure({10, 100, 1000, 5000}, {{1.2}, {1.0}, {2.9}, {3.3}}, kFull);
+  EXPECT_EQ(fit.form, FitForm::kLinear);
+  EXPECT_GT(fit.at_full.value, 6);
+}
+
+TEST(ScaleFit, TakesNoCurveWhereALineIsNearEnough) {
+  const ScaleFit fit = FitFigure(kSizes, Exact({FitForm::kSquare, 1000, 1e-7}), kFull);
+  EXPECT_EQ(fit.form, FitForm::kLinear);
+  EXPECT_LT(fit.residual, 0.005);
+}
+
 TEST(ScaleFit, NeverGivesANegativeCost) {
   // A line through these would cut below zero at small sizes, and the second one at the full size.
   const ScaleFit rising = FitFigure({10, 1000, 2000}, {{0.1}, {1}, {30}}, kFull);
@@ -257,6 +271,18 @@
   EXPECT_EQ(ErrorAfter([](json& j) { j = json::array(); }), "file: should be an object");
 }
 
+// The page's test reads this sample in Python; it is a result by this reader too.
+TEST(ScaleResult, ReadsTheSampleOfTheCapacityPage) {
+  std::stringstream text;
+  text << std::ifstream(FIXTURES "/capacity/docs/results/scale/hosts.json").rdbuf();
+  const ScaleResult sample = FromJson(json::parse(text.str()));
+  EXPECT_EQ(sample.name, "hosts");
+  EXPECT_EQ(sample.fits.size(), 4U);
+  std::stringstream storms;
+  storms << std::ifstream(FIXTURES "/capacity/docs/results/scale/storms.json").rdbuf();
+  EXPECT_EQ(StormsFromJson(json::parse(storms.str())).size(), 1U);
+}
+
 TEST(ScaleResult, StormsAreTheSameAfterJson) {
   const std::vector<StormResult> storms{
       {"zone_starts", "experiments/scale/storms.toml", 3, 1, {{"gateways", 400}}, 1e6, 80, 40, 900}};
--- a/tools/capacity_model/sources.py
+++ b/tools/capacity_model/sources.py
@@ -53,8 +53,11 @@
     figure = f"{measured.role} {measured.figure}"
     if fit.form == "constant":
         return f"{figure}: {number(fit.offset)}, constant over {sweep.axis}"
-    shape = {"linear": "", "n log n": " · ln", "square": "²"}[fit.form]
-    return f"{figure}: {number(fit.offset)} + {number(fit.slope)} · {sweep.axis}{shape}, residual {fit.residual:.1%}"
+    size = {"linear": sweep.axis, "n log n": f"{sweep.axis} · ln({sweep.axis})", "square": f"{sweep.axis}²"}[
+        fit.form
+    ]
+    start = "" if fit.offset == 0 else f"{number(fit.offset)} + "
+    return f"{figure}: {start}{number(fit.slope)} · {size}, residual {fit.residual:.1%}"
 
 
 def _sweeps_of(model: Model, value: Quantity) -> list[str]:
