--- a/src/lab/scale/scale_plot.cpp
+++ b/src/lab/scale/scale_plot.cpp
@@ -13,21 +13,23 @@
 namespace elderhead::lab {
 namespace {
 
-// Figures that share an axis, by how their names end.
+constexpr std::size_t kColours = 8;  // of gnuplot, before they repeat
+
+// Figures that share an axis, by how their names begin and end.
 struct FigureGroup {
   std::string_view name;
   std::string_view label;
+  std::string_view beginning;
   std::vector<std::string_view> endings;
 };
 
-const std::vector<FigureGroup> kGroups{
-    {"processor", "% of a core", {"_percent"}},
-    {"processor-time", "us", {"_us"}},
-    {"traffic", "bytes/s", {"bytes_in_per_s", "bytes_out_per_s"}},
-    {"messages", "messages/s", {"messages_in_per_s", "messages_out_per_s"}},
-    {"size", "bytes", {"bytes_per_change", "bytes_per_whole_list"}},
-    {"memory", "MB", {"_mb"}},
-    {"time", "ms", {"_ms", "_ms_p50", "_ms_p99", "_ms_max"}}};
+const std::vector<FigureGroup> kGroups{{"processor", "% of a core", "cpu_", {"_percent"}},
+                                       {"processor-time", "us", "cpu_", {"_us"}},
+                                       {"traffic", "bytes/s", "bytes_", {"_per_s"}},
+                                       {"messages", "messages/s", "messages_", {"_per_s"}},
+                                       {"size", "bytes", "bytes_per_", {"_change", "_whole_list"}},
+                                       {"memory", "MB", "memory_", {"_mb"}},
+                                       {"time", "ms", "", {"_ms", "_ms_p50", "_ms_p99", "_ms_max"}}};
 
 // One figure of one role: a colour of the chart.
 struct Line {
@@ -37,6 +39,7 @@
 };
 
 bool IsInGroup(const FigureGroup& group, const std::string& figure) {
+  if (!figure.starts_with(group.beginning)) return false;
   return std::any_of(group.endings.begin(), group.endings.end(),
                      [&](std::string_view ending) { return figure.ends_with(ending); });
 }
@@ -129,10 +132,11 @@
   for (std::size_t i = 0; i < lines.size(); ++i) {
     script += fmt::format("$line{} << END_OF_POINTS\n{}END_OF_POINTS\n", i, lines[i].points);
     if (i > 0) plot += ", ";
-    plot += fmt::format("$line{} using 1:2 with points pt 7 ps 0.5 lc {} title {}", i, i + 1,
+    const std::size_t colour = 1 + i % kColours, style = 1 + i / kColours;
+    plot += fmt::format("$line{} using 1:2 with points pt {} ps 0.6 lc {} title {}", i, 2 * style + 5, colour,
                         GnuplotQuoted(Title(lines[i])));
     if (lines[i].fit == nullptr) continue;
-    plot += fmt::format(", {} with lines lw 2 lc {} notitle", Expression(*lines[i].fit), i + 1);
+    plot += fmt::format(", {} with lines lw 2 lc {} dt {} notitle", Expression(*lines[i].fit), colour, style);
   }
   return script + plot + "\n";
 }
--- a/tests/scale_fit_test.cpp
+++ b/tests/scale_fit_test.cpp
@@ -226,7 +226,8 @@
     result.points.push_back(
         {kSizes[i], {{"gateway", {{"cpu_idle_percent", plays[i]}, {"memory_mb", {5, 6}}}}}});
   }
-  result.points.front().roles["gateway"]["ready_ms"] = {12, 13};  // at one point only: no fit
+  result.points.front().roles["gateway"]["served_percent"] = {100, 100};  // of requests, so in no plot
+  result.points.front().roles["gateway"]["ready_ms"] = {12, 13};          // at one point only: no fit
   result.refused = {{73000, "list index too large"}};
   result.fits = FitAllFigures(result);
   return result;
@@ -303,6 +304,7 @@
   text << std::ifstream(files[0]).rdbuf();
   EXPECT_NE(text.str().find("gateway cpu_idle_percent (linear)"), std::string::npos);
   EXPECT_NE(text.str().find("largest measured"), std::string::npos);
+  EXPECT_EQ(text.str().find("served_percent"), std::string::npos);
 }
 
 }  // namespace
