A gateway that starts asks for the list within a second, evenly by its place

The removal was made at 8.07 s and binds at 14.07 s, 0.5 s of grace later an attempt breaks the rule: those whose first call came after 14.57 s sent to the returned hosts. Ruled out: a failed or silent call (each first call was answered in 11 to 81 ms), the gateways of other zones (they heard at 9 s), a watch that went on. It is now spread over a second at most, by the gateway's place (golden ratio of its index) instead of by chance, so that no 100 ms sees more than its part.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -67,6 +67,7 @@
 constexpr Millis kAskGap = 100;       // ms before a failed list call is made again; doubles
 constexpr Millis kAskSpread = 40;     // ms the same at the least, for each gateway that may ask meanwhile
 constexpr double kAskPart = 0.4;      // part of the longest time without asking that this may come to
+constexpr Millis kFirstAskBy = 1000;  // ms from a start to the first list call at the most
 constexpr Millis kAskBy = 4500;       // ms from the begin of a call that failed to the next one at the most
 constexpr Millis kDoubt = 500;        // ms of each server's time that a first few answers are spread over
 constexpr Millis kKindDoubt = 20000;  // ms of a server's time that the mean of all counts for in its kind's
@@ -792,10 +793,10 @@
 
   void Sweep() {
     Emit(SetTimer{kSweepEvery, "sweep"});
-    // Gateways that start together must not ask together, where the list that they were given serves.
-    if (ask_at_ == kNever) ask_at_ = set_.ask_for_list ? now_ + AskSpread() * Uniform() : kForever;
-    if (now_ >= ask_at_ || (set_.ask_for_list && !asked_ && up_ == 0)) {
-      asked_ = true;
+    // Gateways that start together must not ask together, but what changed while they were down binds soon.
+    const Millis spread = up_ > 0 ? std::min(AskSpread(), kFirstAskBy) : 0;  // evenly, by their places
+    if (ask_at_ == kNever) ask_at_ = set_.ask_for_list ? now_ + spread * place_ : kForever;
+    if (now_ >= ask_at_) {
       Emit(Watch{});
       ask_at_ = kForever;
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -45,12 +45,11 @@
   Kind* kind = nullptr;
   Zone* zone = nullptr;
   std::uint64_t hash = 0;
-  bool up = false;
-  bool mine = false;  // in this gateway's subset
-  int refs = 0;       // attempts of living requests that name it
-  int in_flight = 0;  // own attempts out
-  double busy = 0;    // reported utilisation, smoothed
-  double places = 1;  // the limit rounded by chance to whole requests
+  bool up = false, mine = false;  // listed as such; in this gateway's subset
+  int refs = 0;                   // attempts of living requests that name it
+  int in_flight = 0;              // own attempts out
+  double busy = 0;                // reported utilisation, smoothed
+  double places = 1;              // the limit rounded by chance to whole requests
   Millis rests_until = kNever;
   int turned_away = 0;  // requests in a row
   struct Errors {       // of one class
@@ -128,7 +127,7 @@
   std::vector<double> scratch_;
   std::vector<Flow*> due_;
   std::vector<Action>* out_ = nullptr;
-  bool started_ = false, asked_ = false;
+  bool started_ = false;
   std::size_t busy_at_ = 0;  // place of the utilisation in a load report; past its end if not reported
   Millis now_ = 0;
   Millis ask_at_ = kNever, ask_gap_ = 0;
