Split the registry service into modules with one job each

Need: src/registry/service.cpp did everything round the catalog in 628 lines: options, HTTP sessions, admission, encoding of lists, watches, group commit, recovery, reports.

No change of behaviour.

Checked: all 17 tests of registry_test.cpp, unchanged, pass in Release. The service before and after this change was sent the same 419 requests (calls good and bad, watches, places taken, full lists limited, malformed HTTP, restart after SIGKILL and SIGTERM, compacted history): the bytes of all answers are the same, the times of up_s and sync_seconds and the number of syncs left out.

--- /dev/null
+++ b/src/registry/commit_notifier.cpp
@@ -0,0 +1,53 @@
+#include "registry/commit_notifier.hpp"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
+#include <utility>
+
+namespace elderhead::registry {
+namespace {
+
+constexpr useconds_t kPollMicroseconds = 200;
+
+}  // namespace
+
+CommitNotifier::CommitNotifier(boost::asio::io_context& io)
+    : event_(io, eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+
+void CommitNotifier::Notify(Journal::Written written) {
+  {
+    const std::lock_guard lock(mutex_);
+    written_ = std::move(written);
+  }
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto size = ::write(event_.native_handle(), &one, sizeof one);
+}
+
+Journal::Written CommitNotifier::Wait() {
+  std::uint64_t count = 0;
+  while (::read(event_.native_handle(), &count, sizeof count) != sizeof count) ::usleep(kPollMicroseconds);
+  return *Take();
+}
+
+void CommitNotifier::Listen(std::function<void(Journal::Written)> handler) {
+  handler_ = std::move(handler);
+  ReadNext();
+}
+
+void CommitNotifier::ReadNext() {
+  boost::asio::async_read(event_, boost::asio::buffer(&event_count_, sizeof event_count_),
+                          [this](boost::system::error_code error, std::size_t) {
+                            if (error) return;
+                            if (auto written = Take()) handler_(std::move(*written));
+                            ReadNext();
+                          });
+}
+
+std::optional<Journal::Written> CommitNotifier::Take() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(written_, std::nullopt);
+}
+
+}  // namespace elderhead::registry
