Mend what the linter's first checks find outside the policy and the gateway

Change: explicit constructors; parameters named alike in declaration and definition; no using-directive in cli/main.cpp; an unused namespace alias removed; vectors reserved before they are filled; a range-based loop; results that are returned are not const; a connect() whose result does not matter says so. One false alarm of clang-tidy 14, on a defaulted <=>, is marked where it stands. No change of behaviour.

Not run: the gateway's and the policy's tests, whose code is not touched, and the sanitizers.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,7 +21,9 @@
 
 namespace {
 
-using namespace elderhead;
+namespace base = elderhead::base;
+namespace cli = elderhead::cli;
+namespace lab = elderhead::lab;
 
 constexpr int kHeld = 0, kBroken = 1, kWrongUse = 2, kNotJudged = 3;
 constexpr const char* kExitCodes =
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -35,6 +35,7 @@
 struct Address {  // IPv4
   std::uint32_t ip = 0;
   std::uint16_t port = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 in it for a pointer
   auto operator<=>(const Address&) const = default;
 };
 
@@ -135,7 +136,7 @@
 
   void Send(Address to, Kind kind, std::uint32_t sequence, Address about, const std::string* target,
             Output& out);
-  void Hear(Millis now, const Update& update, Output& out);
+  void Hear(Millis now, const Update& heard, Output& out);
   void Spread(const Update& update);
   void Accuse(Millis now, const std::string& name, Output& out);
   void Set(Millis now, Member& member, const Update& update, Output& out);
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -104,6 +104,7 @@
 Fault ReadFault(TomlTable& t, const Experiment& e) {
   Fault f;
   std::vector<std::string> words;
+  words.reserve(std::size(kFaults));
   for (const auto& [word, kind] : kFaults) words.push_back(word);
   if (!t.Has("what")) t.Fail("what", "missing");
   const std::string what = t.Word("what", "", words);
--- a/src/lab/hosts.cpp
+++ b/src/lab/hosts.cpp
@@ -9,7 +9,6 @@
 namespace elderhead::lab {
 namespace {
 
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 constexpr Millis kSweepEvery = 500;
@@ -60,32 +59,32 @@
   }
 }
 
-void Hosts::Kill(int number) {
-  Host& host = At(number);
-  host.up = false;
-  host.listeners.clear();
-  host.timer.cancel();
-  host.due = -1;
-  host.work.clear();
-  for (const auto& connection : std::exchange(host.connections, {})) connection->Close(/*reset=*/true);
+void Hosts::Kill(int host) {
+  Host& killed = At(host);
+  killed.up = false;
+  killed.listeners.clear();
+  killed.timer.cancel();
+  killed.due = -1;
+  killed.work.clear();
+  for (const auto& connection : std::exchange(killed.connections, {})) connection->Close(/*reset=*/true);
 }
 
-void Hosts::Start(int number) {
-  if (!At(number).up) Open(At(number), Now());
+void Hosts::Start(int host) {
+  if (!At(host).up) Open(At(host), Now());
 }
 
-void Hosts::Reset(int number, int gateway) {
+void Hosts::Reset(int host, int gateway) {
   std::vector<std::shared_ptr<ServerConnection>> between;
-  for (const auto& connection : At(number).connections) {
+  for (const auto& connection : At(host).connections) {
     if (connection->peer == gateway) between.push_back(connection);
   }
   for (const auto& connection : between) connection->Close(/*reset=*/true);
 }
 
-void Hosts::SetSpeed(int number, double factor) {
-  Host& host = At(number);
-  host.model->SetSpeed(Now(), factor);
-  Advance(host);
+void Hosts::SetSpeed(int host, double factor) {
+  Host& changed = At(host);
+  changed.model->SetSpeed(Now(), factor);
+  Advance(changed);
 }
 
 void Hosts::Accepted(Host& host, int gateway, tcp::socket socket) {
--- a/src/lab/hosts.hpp
+++ b/src/lab/hosts.hpp
@@ -58,7 +58,7 @@
     std::string id;
   };
   struct Host {
-    Host(boost::asio::io_context& io) : timer(io) {}
+    explicit Host(boost::asio::io_context& io) : timer(io) {}
     int number = 0;
     HostKind kind;
     std::string zone;
--- a/src/lab/http.cpp
+++ b/src/lab/http.cpp
@@ -141,7 +141,7 @@
     tcp::socket& socket = stuffing_.emplace_back(io_, acceptor_.local_endpoint(ignored).protocol());
     socket.non_blocking(true, ignored);
     const tcp::endpoint here = acceptor_.local_endpoint(ignored);
-    ::connect(socket.native_handle(), here.data(), static_cast<socklen_t>(here.size()));
+    (void)::connect(socket.native_handle(), here.data(), static_cast<socklen_t>(here.size()));
   }
 }
 
--- a/src/lab/list_service.hpp
+++ b/src/lab/list_service.hpp
@@ -58,7 +58,7 @@
 
  private:
   struct Watch {
-    Watch(boost::asio::io_context& io) : timer(io) {}
+    explicit Watch(boost::asio::io_context& io) : timer(io) {}
     int gateway = 0;
     std::int64_t after = 0;
     std::shared_ptr<ServerConnection> connection;
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -69,6 +69,7 @@
                        },
                        [this](int g, int h) { return direct_ ? -1 : list_->Told(g, h); }, seed, gateways});
     std::vector<ListService::Member> members;
+    members.reserve(static_cast<std::size_t>(hosts_->count()));
     for (int h = 0; h < hosts_->count(); ++h) {
       members.push_back({fmt::format("s-{:04x}", h), hosts_->zone(h), hosts_->kind(h).name, "up", 1.0, 0, 1});
     }
@@ -96,6 +97,7 @@
     if (!direct_ && e_.fleet.peers) peers_ = std::make_unique<PeerNet>(io_, addresses_, gateways, seed);
     if (!direct_) {
       std::vector<std::string> known;
+      known.reserve(static_cast<std::size_t>(gateways));
       for (int g = 0; g < gateways; ++g) known.push_back(list_->Whole(g));
       gateways_ = std::make_unique<Gateways>(Gateways::Setting{
           io_, e_, addresses_, rules_, std::move(command), seed, folder_.path(), logs,
@@ -192,8 +194,7 @@
     clients_->Begin(start);
     first_answers_.assign(e_.faults.size(), -1);
     if (direct_) return;
-    for (std::size_t i = 0; i < e_.faults.size(); ++i) {
-      const Fault& fault = e_.faults[i];
+    for (const Fault& fault : e_.faults) {
       At(start + fault.at, [this, &fault] {
         Note(fault.text);
         Strike(fault);
--- a/src/lab/processes.cpp
+++ b/src/lab/processes.cpp
@@ -74,6 +74,7 @@
     if (text.rfind("NODE_", 0) != 0 && text.rfind("TMPDIR=", 0) != 0) texts.push_back(text);
   }
   std::vector<char*> environment;
+  environment.reserve(texts.size() + 1);
   for (std::string& text : texts) environment.push_back(text.data());
   environment.push_back(nullptr);
   const pid_t lab = getpid();
--- a/src/lab/schedule.cpp
+++ b/src/lab/schedule.cpp
@@ -111,6 +111,7 @@
   std::stable_sort(lines.begin(), lines.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<std::string> text;
+  text.reserve(lines.size());
   for (const auto& [at, what] : lines) text.push_back(fmt::format("{:.3f} s {}", at / 1000, what));
   return text;
 }
--- a/src/registry/bytes.hpp
+++ b/src/registry/bytes.hpp
@@ -44,7 +44,7 @@
   std::string Text() {
     const std::uint64_t size = Number(4);
     if (left_.size() < size) return Fail(), std::string();
-    const std::string text(left_.substr(0, size));
+    std::string text(left_.substr(0, size));
     left_.remove_prefix(size);
     return text;
   }
--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -178,7 +178,7 @@
   return true;
 }
 
-void Service::AnswerHistory(const SessionPtr& session, std::string_view target) {
+void Service::AnswerHistory(const SessionPtr& session, std::string_view target) const {
   const auto query = ParseWatch(target);
   if (!query) {
     return session->Answer(ToResponse(Outcome{"bad_request", "", "'after' must be a whole number"}));
--- a/src/registry/service.hpp
+++ b/src/registry/service.hpp
@@ -55,7 +55,7 @@
   void TurnAway(const SessionPtr& session, const std::string& message, bool keep_alive);
 
   void AnswerList(const SessionPtr& session, std::string_view target);
-  void AnswerHistory(const SessionPtr& session, std::string_view target);
+  void AnswerHistory(const SessionPtr& session, std::string_view target) const;
   bool AnswerReport(const SessionPtr& session, std::string_view path, std::string_view target);
   void AnswerCall(const SessionPtr& session, std::string_view name, const std::string& body);
   Outcome Renew(const Renewal& renewal);
--- a/src/store/memory_file_system.cpp
+++ b/src/store/memory_file_system.cpp
@@ -152,7 +152,7 @@
     const Verdict verdict = system_.hook_(Call::kAppend, path_);
     if (verdict.skip) return {};
     if (!verdict.error) return below_->Append(bytes);
-    if (const Status part = below_->Append(bytes.substr(0, verdict.part)); !part.ok()) return part;
+    if (Status part = below_->Append(bytes.substr(0, verdict.part)); !part.ok()) return part;
     return {verdict.error, "write " + path_};
   }
   Status Sync() override {
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -88,7 +88,7 @@
   Store(FileSystem& files, std::string folder, StoreOptions options)
       : files_(files), folder_(std::move(folder)), options_(std::move(options)) {}
   std::string Path(const std::string& name) const { return folder_ + "/" + name; }
-  Status Recover(const Examination& examination);
+  Status Recover(const Examination& found);
   // Under a name of its own first, then in the place of what stands there.
   Status Replace(const std::string& name, std::string_view bytes, std::unique_ptr<File>* keep = nullptr);
   Status BeginSegment();
