--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# All checks of the project: the deploy file's own build, the tests in Release and under the
-# sanitizers, the consumer example against an installed copy, the adapter as a process, the format,
+# All checks of the project: the deploy file's own build, the linter, the tests in Release and under
+# the sanitizers, the consumer example against an installed copy, the adapter as a process, the format,
 # and the size of the policy. Run from anywhere; leaves its builds under build*/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -23,8 +23,11 @@
 step "build by deploy/balancer.toml"
 bash -c "$(setting build)"
 
+step "clang-tidy"
+cmake -B build-tests -DCMAKE_BUILD_TYPE=Release -DOPALSWITCH_TESTS=ON -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+bash tests/lint.sh build-tests
+
 step "tests, Release"
-cmake -B build-tests -DCMAKE_BUILD_TYPE=Release -DOPALSWITCH_TESTS=ON >/dev/null
 cmake --build build-tests -j"$(nproc)"
 bash tests/ctest_known_red.sh build-tests
 
