What discovery wrote before it moved is told: the old call ends beside the new one

Seen: a drain stands unread in the socket when SIGHUP names another address. Change: Move leaves the call that is on, and its connection, to end beside the one at the new address: until the new address has answered, 1.5 s at the most. Its list is checked as any other, by what was known of the old address. Reading once at the move was rejected: an answer may have come in part, and what discovery writes meanwhile counts as told too. Measured: none of 20 requests goes to the draining host, with the answer whole, in part at five places, or written after the new address was asked. Not covered: a new address whose first list is older than what the old one wrote; as before, the new one is believed.

--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -30,6 +30,7 @@
 constexpr double kWaitJitter =
     0.2;                          // part of a wait: watches that fell silent together must not come back so
 constexpr Millis kDial = 1000;    // a discovery that is cut off never answers a dial
+constexpr Millis kFormer = 1500;  // after a move: then discovery closes what is open at its old address
 constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
 constexpr std::size_t kMostList = 8 << 20;
 constexpr Millis kQuiet = 500;           // between two lines on calls
@@ -143,8 +144,8 @@
 }
 
 // A replica that lags would bring back hosts that are gone. Another history counts anew.
-bool Discovery::IsOlder(const HostList& list) const {
-  return list.revision < revision_ && !moved_ && list.epoch == epoch_;
+bool Discovery::IsOlder(const HostList& list, bool sure) const {
+  return list.revision < revision_ && sure && list.epoch == epoch_;
 }
 
 void Discovery::Watch() {
@@ -177,6 +178,7 @@
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
   Exchange(socket_, call, [this, call](const std::string& why) {
+    if (call == former_) return FormerAnswered(why);
     if (call != call_) return;
     if (!why.empty()) return Fail(call, why);
     Answered(call);
@@ -202,34 +204,36 @@
   });
 }
 
-void Discovery::Answered(const std::shared_ptr<Call>& call) {
-  const auto& answer = call->parser.get();
-  if (answer.result() != http::status::ok) return Fail(call, "status " + std::to_string(answer.result_int()));
-  auto list = ParseHostList(answer.body());
-  if (!list) return Fail(call, "not a list of hosts");
-  if (IsOlder(*list)) {
-    return Fail(call,
-                "revision " + std::to_string(list->revision) + " is older than " + std::to_string(revision_));
-  }
-  if (!list->complete && !epoch_.empty() && list->epoch != epoch_) {
-    return Fail(call, "changes of another history");
-  }
-  if (handlers_.refused) {
-    if (const std::string why = handlers_.refused(*list); !why.empty()) return Fail(call, why);
+std::optional<HostList> Discovery::Acceptable(const Call& call, bool sure, std::string& why) const {
+  const auto& answer = call.parser.get();
+  std::optional<HostList> list;
+  if (answer.result() == http::status::ok) list = ParseHostList(answer.body());
+  if (answer.result() != http::status::ok) {
+    why = "status " + std::to_string(answer.result_int());
+  } else if (!list) {
+    why = "not a list of hosts";
+  } else if (IsOlder(*list, sure)) {
+    why = "revision " + std::to_string(list->revision) + " is older than " + std::to_string(revision_);
+  } else if (!list->complete && !epoch_.empty() && list->epoch != epoch_) {
+    why = "changes of another history";
+  } else if (handlers_.refused) {
+    why = handlers_.refused(*list);
   }
+  return why.empty() ? std::move(list) : std::nullopt;
+}
+
+void Discovery::Answered(const std::shared_ptr<Call>& call) {
+  std::string why;
+  auto list = Acceptable(*call, /*sure=*/!moved_, why);
+  if (!list) return Fail(call, why);
+  DropFormer();  // this answer is the later one
   moved_ = false;
   failed_in_row_ = 0;
-  heard_at_ = Now();
-  epoch_ = list->epoch;
-  Say(*call,
-      "revision " + std::to_string(list->revision) + ", " + std::to_string(list->hosts.size()) +
-          (list->complete ? " hosts, the whole list" : " hosts changed"),
-      false);
   call->timer.cancel();
   call_.reset();
-  if (!answer.keep_alive()) socket_.reset();
-  revision_ = list->revision;
-  handlers_.told(std::move(*list));
+  if (!call->parser.get().keep_alive()) socket_.reset();
+  SayTold(*call, *list);
+  Tell(std::move(*list));
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
   pause_.async_wait([this](error_code ec) {
@@ -237,6 +241,50 @@
   });
 }
 
+void Discovery::Tell(HostList list) {
+  heard_at_ = Now();
+  epoch_ = list.epoch;
+  revision_ = list.revision;
+  handlers_.told(std::move(list));
+}
+
+// Leaves the call that is on to end at the address that discovery has left. An answer that discovery has
+// written is in force, whether or not it was read when the word of the move came.
+void Discovery::KeepFormer() {
+  DropFormer();
+  former_ = std::exchange(call_, nullptr);
+  former_socket_ = std::exchange(socket_, nullptr);
+  former_sure_ = !moved_;
+  if (!former_) return DropFormer();  // between two calls nothing is owed
+  former_->timer.expires_after(Span(kFormer));
+  former_->timer.async_wait([this, call = former_](error_code ec) {
+    if (!ec && call == former_) DropFormer();
+  });
+}
+
+void Discovery::FormerAnswered(const std::string& unread) {
+  std::string why = unread;
+  auto list = why.empty() ? Acceptable(*former_, former_sure_, why) : std::nullopt;
+  const auto call = former_;
+  DropFormer();
+  if (!list) return;
+  SayTold(*call, *list);
+  Tell(std::move(*list));
+}
+
+void Discovery::DropFormer() {
+  if (former_) former_->timer.cancel();
+  former_.reset();
+  Close(former_socket_);
+}
+
+void Discovery::SayTold(const Call& call, const HostList& list) {
+  Say(call,
+      "revision " + std::to_string(list.revision) + ", " + std::to_string(list.hosts.size()) +
+          (list.complete ? " hosts, the whole list" : " hosts changed"),
+      false);
+}
+
 // One line on a call, at most two a second.
 void Discovery::Say(const Call& call, const std::string& what, bool failed) {
   if (Now() < quiet_until_) return;
@@ -340,15 +388,18 @@
 void Discovery::Drop() {
   if (call_) call_->timer.cancel();
   call_.reset();
-  if (socket_) {
-    error_code ignored;
-    socket_->close(ignored);
-    socket_.reset();
-  }
+  Close(socket_);
+}
+
+void Discovery::Close(std::shared_ptr<tcp::socket>& socket) {
+  if (!socket) return;
+  error_code ignored;
+  socket->close(ignored);
+  socket.reset();
 }
 
 void Discovery::Move(const tcp::endpoint& address) {
-  Drop();
+  KeepFormer();
   pause_.cancel();
   addresses_[at_ = 0] = address;
   moved_ = watching_ = true;
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -69,6 +69,7 @@
   void Watch();
 
   // Discovery has another address from now on: begins a watch there at once, from the last revision known.
+  // What the old address has written, or writes before the new one has answered, is told all the same.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
   // When a call was last answered with a list that was taken; 0: never. And by which service, from 0.
@@ -79,7 +80,10 @@
   struct Call;
   const boost::asio::ip::tcp::endpoint& address() const { return addresses_[at_]; }
   std::string Target(Millis wait) const;
-  bool IsOlder(const HostList& list) const;
+  bool IsOlder(const HostList& list, bool sure) const;
+  // The list in the answer to a call; nothing, and why not, where it must not be taken.
+  std::optional<HostList> Acceptable(const Call& call, bool sure, std::string& why) const;
+  void Tell(HostList list);
   void MoveOn(Millis begun);
   void SwitchTo(std::size_t service, const std::string& why);
   void LookLater();
@@ -90,9 +94,14 @@
   static void Exchange(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket,
                        const std::shared_ptr<Call>& call, std::function<void(const std::string& why)> done);
   void Answered(const std::shared_ptr<Call>& call);
+  void KeepFormer();
+  void FormerAnswered(const std::string& unread);
+  void DropFormer();
   void Fail(const std::shared_ptr<Call>& call, const std::string& why);
   void Say(const Call& call, const std::string& what, bool failed);
+  void SayTold(const Call& call, const HostList& list);
   void Drop();
+  static void Close(std::shared_ptr<boost::asio::ip::tcp::socket>& socket);
 
   boost::asio::io_context& io_;
   std::vector<boost::asio::ip::tcp::endpoint> addresses_;
@@ -101,7 +110,10 @@
   std::string epoch_;
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
-  std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
+  std::shared_ptr<Call> call_;  // the one that is on; results of others are dropped, but the former's
+  std::shared_ptr<boost::asio::ip::tcp::socket> former_socket_;
+  std::shared_ptr<Call> former_;  // was on at the old address when discovery moved, and may be answered yet
+  bool former_sure_ = false;      // the revision was the old address's then
   boost::asio::steady_timer pause_;
   bool watching_ = false;
   bool moved_;              // or not sure of the revision, and not heard from there yet
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -176,5 +176,124 @@
   }
 }
 
+// A gateway whose discovery moves while a call is on at the old address. The new address takes the call and
+// answers when the test says so.
+struct MovingWorld : World {
+  MovingWorld() : World(2) {
+    for (const auto& host : hosts) {
+      host->serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+    }
+  }
+  bool Asked() {
+    return Until([&] { return discovery.requests.size() == 1; });
+  }
+  // Puts bytes into the gateway's socket at once: they stand there unread until the loop runs. A gateway that
+  // has closed it is told by what follows.
+  void Write(const std::string& text) {
+    error_code ignored;
+    asio::write(discovery.requests[0].on->socket, asio::buffer(text), ignored);
+  }
+  void Move() { gateway->MoveDiscovery(moved.address()); }
+  // So many operators' calls from connect to close: what stood in a socket before them has been read by then.
+  void TurnLoop() {
+    for (int i = 0; i < 5; ++i) Call("check\n");
+  }
+  // How many of 20 requests that follow each other come to the host.
+  std::size_t Share(std::size_t of) {
+    const std::size_t before = host(of).requests.size();
+    const auto client = Connect();
+    for (std::size_t i = 1; i <= 20; ++i) {
+      client->Send(ApiCall("r" + std::to_string(++asked)));
+      EXPECT_EQ(client->Await(i).result(), http::status::ok);
+    }
+    return host(of).requests.size() - before;
+  }
+  std::string Answer(const nlohmann::json& list) const {
+    const std::string body = list.dump();
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  nlohmann::json Drained(int revision) {
+    return List(revision, false, {Member("h0", host(0).address(), "draining")});
+  }
+
+  Peer moved{io};
+  int asked = 0;
+};
+
+// Guards a drain that discovery has written and that nobody has read when the word comes that discovery has
+// moved: it is told, and binds at once, however long the new address takes for its first answer.
+TEST(Discovery, TakesWhatItsOldAddressWroteBeforeTheMove) {
+  MovingWorld world;
+  ASSERT_TRUE(world.Asked());
+  EXPECT_GT(world.Share(0), 0u);
+  world.Write(world.Answer(world.Drained(42)));
+  world.Move();
+  world.TurnLoop();
+  EXPECT_EQ(world.Share(0), 0u);
+  ASSERT_TRUE(world.Until([&] { return world.moved.requests.size() == 1; }));
+  EXPECT_EQ(world.Share(0), 0u);
+  // The new address is asked from the revision known at the move, and goes on from there.
+  EXPECT_NE(std::string(world.moved.requests[0].http.target()).find("after=41&"), std::string::npos);
+  world.moved.requests[0].Answer(200, world.Drained(42).dump());
+  ASSERT_TRUE(world.Until([&] { return world.moved.requests.size() == 2; }));
+  EXPECT_NE(std::string(world.moved.requests[1].http.target()).find("after=42&"), std::string::npos);
+  EXPECT_EQ(world.Share(0), 0u);
+}
+
+// Guards the same for an answer of which a part has come, at every place that may part it, and for one that
+// discovery writes when it knows that the new address is asked.
+TEST(Discovery, TakesWhatItsOldAddressWritesDuringTheMove) {
+  for (const std::size_t part : {0u, 1u, 20u, 60u, 150u}) {  // bytes that stand in the socket at the move
+    SCOPED_TRACE(part);
+    MovingWorld world;
+    ASSERT_TRUE(world.Asked());
+    const std::string answer = world.Answer(world.Drained(42));
+    ASSERT_LT(part, answer.size());
+    world.Write(answer.substr(0, part));
+    world.Move();
+    ASSERT_TRUE(world.Until([&] { return world.moved.requests.size() == 1; }));
+    world.Write(answer.substr(part));
+    world.TurnLoop();
+    EXPECT_EQ(world.Share(0), 0u);
+  }
+}
+
+// Guards the order of two addresses that speak: behind the new one's answer the old one is not heard any
+// more, whose revisions may be those of another history. And where the new one is silent, the old connection
+// is not kept beyond the 1.5 s for which discovery keeps it.
+TEST(Discovery, HearsItsOldAddressOnlyUntilTheNewOneAnswers) {
+  MovingWorld world;
+  ASSERT_TRUE(world.Asked());
+  world.Move();
+  ASSERT_TRUE(world.Until([&] { return world.moved.requests.size() == 1; }));
+  EXPECT_FALSE(world.discovery.connections[0]->ended);
+  world.moved.requests[0].Answer(200, List(7, true, {Member("h1", world.host(1).address())}).dump());
+  ASSERT_TRUE(world.Until([&] { return world.moved.requests.size() == 2; }));
+  EXPECT_NE(std::string(world.moved.requests[1].http.target()).find("after=7&"), std::string::npos);
+  world.Write(world.Answer(List(50, true, {Member("h0", world.host(0).address())})));
+  world.TurnLoop();
+  EXPECT_EQ(world.Share(0), 0u);
+  ASSERT_TRUE(world.Until([&] { return world.discovery.connections[0]->ended; }));
+
+  MovingWorld silent;
+  ASSERT_TRUE(silent.Asked());
+  silent.Move();
+  const Millis moved_at = elderhead::base::Now();
+  ASSERT_TRUE(silent.Until([&] { return silent.discovery.connections[0]->ended; }));
+  EXPECT_GE(elderhead::base::Now() - moved_at, 1400);
+  ASSERT_TRUE(silent.Until([&] { return silent.moved.requests.size() == 2; }));  // the next call, by 4.5 s
+}
+
+// Guards a guarded list: what the old address says of hosts that are gone is believed no sooner than before.
+TEST(Discovery, BelievesItsOldAddressNoMoreThanBefore) {
+  MovingWorld world;
+  world.GuardList();
+  ASSERT_TRUE(world.Asked());
+  world.Write(world.Answer(List(42, true, nlohmann::json::array())));
+  world.Move();
+  world.TurnLoop();
+  EXPECT_EQ(world.Vars()["pool_size"], 2);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
