--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -113,6 +113,9 @@
     error_code ec;
     return Resting() && socket_.available(ec) == 0;
   }
+  // The same, and long enough since the last answer, or the connection, that no request should be on its way,
+  // and no answer that a close over such a request would take along.
+  bool Rested(Millis now) { return now - since_ > kShedRest && Idle(); }
   // Some of a request has come, and no more of it is there.
   bool Unfinished() {
     error_code ec;
@@ -162,7 +165,7 @@
         if (begun && drained > kShedPartial) {
           return Refuse({http::status::service_unavailable, "this gateway drains"});
         }
-        if (drained > kShedAfter && age > kShedRest && Idle()) return Close();
+        if (drained > kShedAfter && Rested(now)) return Close();
       }
       if (age > (turn_ == 0 ? kFirst : kIdle) && Idle()) Close();
     } else if (phase_ == Phase::kWaiting) {
@@ -537,8 +540,7 @@
     reading_ = buffer_.size() > 0;
     if (!reading_) buffer_.shrink_to_fit();
     if (server_.give_ && GiveAway()) return;
-    if (server_.stopped_ && Idle()) return Close();
-    Read();
+    Read();  // where the listener has closed, the sweep ends it once the answer has had time to arrive
   }
 
   // Closing with bytes unread would reset the connection, and could take the answer from the client.
@@ -756,7 +758,7 @@
   accept_again_.cancel();
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
-    if (session->Idle()) session->Close();
+    if (session->Rested(Now())) session->Close();  // the sweep ends the others
   }
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
 }
