Tests that a restarted process is ready within 10 s, whatever discovery does

Change: the program as a process, killed or told to end, is started again on the same address with a known list, while discovery is down, silent, refuses, resets, breaks off or talks nonsense: GET /up is 200 within 10 s and a request is served. The other side: with no list it answers 503 until discovery is back, then is ready in time. No change of the program was needed.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -201,5 +201,108 @@
   EXPECT_FALSE(process.Ended());
 }
 
+constexpr std::chrono::seconds kReadyWithin{10};
+
+// Whether GET /up is answered 200 within the time that a restarted process has. Before it listens a dial is
+// refused.
+bool IsUpInTime(asio::io_context& io, const tcp::endpoint& listen) {
+  const auto end = std::chrono::steady_clock::now() + kReadyWithin;
+  while (std::chrono::steady_clock::now() < end) {
+    error_code ec;
+    tcp::socket dial(io);
+    dial.connect(listen, ec);
+    dial.close();
+    if (!ec) {
+      Client probe(io, listen);
+      probe.Send("GET /up HTTP/1.1\r\n\r\n");
+      if (probe.Await().result() == http::status::ok) return std::chrono::steady_clock::now() < end;
+    }
+    io.run_one_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+// What a discovery does while gateways are restarted.
+struct DiscoveryTrouble {
+  std::string name;
+  bool listens;                                     // else dials are refused
+  std::function<void(const Peer::Taken&)> answers;  // none: it is silent
+};
+
+std::vector<DiscoveryTrouble> DiscoveryTroubles() {
+  return {{"IsDown", false, nullptr},
+          {"IsSilent", true, nullptr},
+          {"Refuses", true, [](const Peer::Taken& taken) { taken.Answer(503, ""); }},
+          {"Resets", true, [](const Peer::Taken& taken) { taken.on->Reset(); }},
+          {"BreaksOff", true,
+           [](const Peer::Taken& taken) {
+             taken.on->Raw("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{\"revision\":");
+           }},
+          {"TalksNonsense", true, [](const Peer::Taken& taken) { taken.Answer(200, "{}"); }}};
+}
+
+class Restart : public ::testing::TestWithParam<DiscoveryTrouble> {};
+
+// Guards a restart while discovery is in trouble: with a list that it knows a process is ready within 10 s,
+// and serves by it, whether the one before was killed or told to end.
+TEST_P(Restart, IsReadyByTheKnownListWhateverDiscoveryDoes) {
+  const DiscoveryTrouble& trouble = GetParam();
+  asio::io_context io;
+  Peer host(io), discovery(io);
+  host.serve = [](const Peer::Taken& taken) { taken.Answer(200, "served"); };
+  discovery.serve = trouble.answers;
+  if (!trouble.listens) discovery.StopListening();
+  const tcp::endpoint listen = FreeAddress(io), at = trouble.listens ? discovery.address() : FreeAddress(io);
+  const nlohmann::json config = {
+      {"seed", "1f"}, {"known", List(1, true, {Member("h0", host.address())})}, {"settings", TestSettings()}};
+  const File file(config.dump());
+  const std::vector<std::pair<std::string, std::string>> variables = {
+      {"NODE_CONFIG", file.path}, {"NODE_LISTEN", ToText(listen)}, {"NODE_DISCOVERY", ToText(at)}};
+  for (const bool killed : {true, false}) {
+    SCOPED_TRACE(killed ? "killed" : "told to end");
+    Process before(variables);
+    ASSERT_TRUE(IsUpInTime(io, listen));
+    killed ? before.Kill() : before.Terminate();
+    ASSERT_TRUE(RunUntil(io, [&] { return before.Ended(); }));
+    Process restarted(variables);
+    ASSERT_TRUE(IsUpInTime(io, listen));
+    Client client(io, listen);
+    client.Send(ApiCall("r1"));
+    EXPECT_EQ(client.Await().body(), "served");
+    EXPECT_FALSE(restarted.Ended());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Discovery, Restart, ::testing::ValuesIn(DiscoveryTroubles()),
+                         [](const auto& param) { return param.param.name; });
+
+// Guards the other side of it: a process that knows no host takes no clients, and is ready in time once
+// discovery is back.
+TEST(Restart, IsNotReadyWithoutAListUntilDiscoveryIsBack) {
+  asio::io_context io;
+  Peer host(io);
+  tcp::acceptor discovery(io, tcp::v4());
+  discovery.bind(Loopback());  // and does not listen: it is down
+  const tcp::endpoint listen = FreeAddress(io);
+  const File file(nlohmann::json({{"seed", "1f"}, {"settings", TestSettings()}}).dump());
+  Process process({{"NODE_CONFIG", file.path},
+                   {"NODE_LISTEN", ToText(listen)},
+                   {"NODE_DISCOVERY", ToText(discovery.local_endpoint())}});
+  ASSERT_TRUE(RunUntil(io, [&] { return process.Errors().find("call failed") != std::string::npos; }));
+  Client probe(io, listen);
+  probe.Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(probe.Await().result(), http::status::service_unavailable);
+  discovery.listen();
+  std::optional<tcp::socket> asked;
+  discovery.async_accept([&](error_code ec, tcp::socket socket) {
+    if (!ec) asked.emplace(std::move(socket));
+  });
+  ASSERT_TRUE(RunUntil(io, [&] { return asked.has_value(); }));
+  const std::string body = List(1, true, {Member("h0", host.address())}).dump();
+  asio::write(*asked, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                   "\r\n\r\n" + body));
+  EXPECT_TRUE(IsUpInTime(io, listen));
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
