Gateway: following the list of hosts is a class of its own

Need: a gateway without a request path is to run the same watch, the same list in force and the same refusal of lists as a real one, not a copy of them. Change: ListFollower holds Discovery, the list and the check of lists that lack too many hosts; Gateway keeps what concerns requests. Moved as it stood, behaviour unchanged.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,13 +72,6 @@
   return text;
 }
 
-ServerNews ToNews(const HostList& list) {
-  ServerNews news;
-  news.kind = list.complete ? ServerNews::Kind::kFull : ServerNews::Kind::kDelta;
-  for (const Host& host : list.hosts) news.servers.push_back(host.server);
-  return news;
-}
-
 // The request that an event is about; empty if it is about none.
 std::string RequestOf(const Event& event) {
   if (const auto* request = std::get_if<Request>(&event)) return request->id;
@@ -87,9 +80,20 @@
   return {};
 }
 
-// Of the list that the revision known is of.
-std::string EpochOf(const Inheritance& inheritance, const std::optional<KeptState>& kept) {
-  return inheritance.estate ? inheritance.estate->list.epoch : kept ? kept->list.epoch : "";
+// The watch begins at the newest revision known. That of a list from the disk is not sure.
+ListFollower::Options FollowerOptions(const Config& config, const Inheritance& inheritance,
+                                      const std::optional<KeptState>& kept) {
+  ListFollower::Options options;
+  options.service = config.discovery;
+  options.other_services = config.other_discoveries;
+  options.seed = config.seed;
+  options.revision = inheritance.estate ? inheritance.estate->list.revision
+                                        : std::max(config.known.revision, kept ? kept->list.revision : 0);
+  options.epoch = inheritance.estate ? inheritance.estate->list.epoch : kept ? kept->list.epoch : "";
+  options.sure = inheritance.estate || !kept || kept->list.revision <= config.known.revision;
+  options.guarded = config.list_guarded;
+  options.most_removed = config.most_removed;
+  return options;
 }
 
 }  // namespace
@@ -109,19 +113,12 @@
       most_clients_(std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3)),
       most_hosts_(std::max<std::size_t>(1, Usable(config.sockets) / 3)),
       hosts_(io, {config.dial_timeout, config.idle_timeout, most_hosts_, config.memory / 4}),
-      discovery_(io, config.discovery,
-                 inheritance.estate ? inheritance.estate->list.revision
-                                    : std::max(config.known.revision, kept ? kept->list.revision : 0),
-                 /*sure=*/inheritance.estate || !kept || kept->list.revision <= config.known.revision,
-                 {[this](const HostList& list) {
-                    list_kept_ = false;
-                    told_at_ = Now();
-                    Told(list);
-                  },
-                  [this](Millis took) { ListFailed(took); },
-                  config.list_guarded ? [this](const HostList& list) { return Refused(list); }
-                                      : std::function<std::string(const HostList&)>()},
-                 {config.other_discoveries, config.seed, EpochOf(inheritance, kept)}),
+      list_(io, FollowerOptions(config, inheritance, kept),
+            {[this] {
+               list_kept_ = false;
+               told_at_ = Now();
+             },
+             [this](const HostList& list) { Told(list); }, [this](Millis took) { ListFailed(took); }}),
       figures_(config.settings),
       stop_(io),
       counting_(io),
@@ -132,7 +129,6 @@
                     [this](double factor) { policy_.Scale(factor); }, [this](bool half) { SetPlaces(half); },
                     [this](Descriptor client) { clients_.Adopt(std::move(client)); }}),
       keep_(io),
-      most_removed_(config.most_removed),
       list_old_after_(config.list_old_after),
       started_at_(Now()),
       clients_(io, config.listen, !config.handover.empty(), std::move(inheritance.listener), most_clients_,
@@ -154,13 +150,14 @@
   list_kept_ = !estate && kept && kept->list.revision > config.known.revision;
   if (!estate && kept && kept->draining) SetDraining(true);
   told_at_ = list_kept_ ? kept->kept_at : Now();
-  Told(estate ? estate->list : list_kept_ ? kept->list : config.known);
+  list_.Apply(estate ? estate->list : list_kept_ ? kept->list : config.known);
   if (list_kept_) {
-    base::Log(base::Level::kInfo, "state", "list_restored",
-              Words("state kept: list of revision %lld with %zu hosts in force until discovery answers, kept "
-                    "%.0f s ago",
-                    static_cast<long long>(revision_), list_.size(), (Now() - kept->kept_at) / 1000),
-              {{"revision", revision_}, {"hosts", list_.size()}, {"age_ms", Now() - kept->kept_at}});
+    base::Log(
+        base::Level::kInfo, "state", "list_restored",
+        Words("state kept: list of revision %lld with %zu hosts in force until discovery answers, kept "
+              "%.0f s ago",
+              static_cast<long long>(list_.revision()), list_.hosts().size(), (Now() - kept->kept_at) / 1000),
+        {{"revision", list_.revision()}, {"hosts", list_.hosts().size()}, {"age_ms", Now() - kept->kept_at}});
   }
   if (!config.state_folder.empty())
     keeper_.emplace(config.state_folder, config.state_owner, config.state_sync_delay);
@@ -174,7 +171,7 @@
               {{"hosts", kept->learned->servers.size()}, {"age_ms", Now() - kept->learned->at}});
   }
   replacement_.Begin();
-  if (!settings_.ask_for_list) discovery_.Watch();
+  if (!settings_.ask_for_list) list_.Watch();
   for (const ClassSettings& c : settings_.classes) {
     base::Log(base::Level::kInfo, "start", "class",
               Words("class %s: aim %.0f ms, deadline %.0f ms, worth %.1f, late worth %.2f", c.name.c_str(),
@@ -237,20 +234,10 @@
 void Gateway::Told(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
   listed_ = listed_ || !list.hosts.empty();
-  revision_ = list.revision;
-  if (!list.epoch.empty()) epoch_ = list.epoch;
-  if (list.complete) list_.clear();
-  for (const Host& host : list.hosts) {
-    if (host.server.state == ServerState::kGone) {
-      list_.erase(host.server.id);
-    } else {
-      list_[host.server.id] = host;
-    }
-  }
   Report(ToNews(list));
   replacement_.ReadyNow();
   // Not all of a fleet at once.
-  if (keeper_ && !list_.empty()) {
+  if (keeper_ && !list_.hosts().empty()) {
     KeepLater(kKeepWithin * (settings_.index % kKeepSteps) / kKeepSteps);
   }
 }
@@ -263,7 +250,7 @@
   keep_.expires_at(due);
   keep_.async_wait([this](error_code ec) {
     if (ec || !keeper_->ok()) return;
-    keeper_->Keep({Listed(), draining_, told_at_, policy_.Remember()});
+    keeper_->Keep({list_.Listed(), draining_, told_at_, policy_.Remember()});
     KeepLater(kKeepEvery);  // what is learned goes on changing
   });
 }
@@ -278,34 +265,10 @@
   const std::string where = address.address().to_string() + ":" + std::to_string(address.port());
   base::Log(base::Level::kInfo, "discovery", "moved", "discovery is at " + where + " now",
             {{"address", where}});
-  discovery_.Move(address);
-}
-
-// Why the list must not be believed: it loses more hosts at once than any trouble explains but the service's
-// own. What it says of drains binds all the same.
-std::string Gateway::Refused(const HostList& list) {
-  std::size_t left = 0, gone = 0;
-  HostList draining;
-  draining.revision = revision_;
-  draining.complete = false;
-  for (const Host& host : list.hosts) {
-    const auto known = list_.find(host.server.id);
-    if (known == list_.end()) continue;
-    if (host.server.state == ServerState::kGone) ++gone;
-    if (host.server.state != ServerState::kGone) ++left;
-    if (host.server.state == ServerState::kDraining)
-      draining.hosts.push_back({host.server, known->second.address});
-  }
-  if (list.complete) gone = list_.size() - left;
-  const bool many = gone > 1 && static_cast<double>(gone) > most_removed_ * static_cast<double>(list_.size());
-  if (!many || list.confirmed > revision_) return "";
-  if (!draining.hosts.empty()) Told(draining);
-  return Words("a list without %zu of %zu hosts, which no operator has confirmed", gone, list_.size());
+  list_.Move(address);
 }
 
-bool Gateway::ListOld() const {
-  return Now() - std::max(discovery_.heard_at(), started_at_) > list_old_after_;
-}
+bool Gateway::ListOld() const { return Now() - std::max(list_.heard_at(), started_at_) > list_old_after_; }
 
 void Gateway::ListFailed(Millis took) {
   Report(ServerNews{ServerNews::Kind::kFailed, {}, took});  // the policy says when to ask again
@@ -394,7 +357,7 @@
 // What the operators ask for, and what they are told.
 std::string Gateway::Manage(const std::string& call) {
   if (call == "vars") {
-    std::string figures = figures_.ToJson(clients_.active(), list_.size(), policy_.avoided());
+    std::string figures = figures_.ToJson(clients_.active(), list_.hosts().size(), policy_.avoided());
     // With no folder for states all is as before.
     if (keeper_)
       figures.insert(figures.size() - 1,
@@ -406,10 +369,10 @@
     const auto number = [](auto value) { return static_cast<double>(value); };
     return figures_.ToPrometheus(
                {{"active_requests", "gauge", "Requests taken and not ended", number(clients_.active())},
-                {"hosts_listed", "gauge", "Hosts in the list", number(list_.size())},
+                {"hosts_listed", "gauge", "Hosts in the list", number(list_.hosts().size())},
                 {"hosts_avoided", "gauge", "Listed hosts that get no more than trials",
                  number(policy_.avoided())},
-                {"list_revision", "gauge", "Revision of the list in force", number(revision_)},
+                {"list_revision", "gauge", "Revision of the list in force", number(list_.revision())},
                 {"ready", "gauge", "1 while this process takes clients", Ready() ? 1.0 : 0.0},
                 {"client_connections", "gauge", "Connections from clients", number(clients_.sessions())},
                 {"host_connections", "gauge", "Connections to hosts", number(hosts_.connections())},
@@ -421,11 +384,11 @@
                  number(c.reset_new + c.reset_reused)},
                 {"clients_left_total", "counter", "Clients that left unanswered", number(left_)},
                 {"list_age_seconds", "gauge", "Since the list was last known to hold",
-                 (Now() - std::max(discovery_.heard_at(), told_at_)) / 1000},
+                 (Now() - std::max(list_.heard_at(), told_at_)) / 1000},
                 {"list_old", "gauge", "1 while no list service has answered for too long",
                  ListOld() ? 1.0 : 0.0},
                 {"list_service", "gauge", "Which of the list services is watched, from 0",
-                 number(discovery_.service())},
+                 number(list_.service())},
                 {"list_from_state", "gauge", "1 while the list in force is from the disk",
                  list_kept_ ? 1.0 : 0.0},
                 {"state_ok", "gauge", "0 once keeping state has failed",
@@ -573,7 +536,7 @@
   });
 }
 
-void Gateway::Do(const Watch&) { discovery_.Watch(); }
+void Gateway::Do(const Watch&) { list_.Watch(); }
 
 void Gateway::Do(const Log& log) {
   const bool state = log.text.rfind("state:", 0) == 0;
@@ -607,15 +570,7 @@
   hosts_.SetMost(half ? std::max<std::size_t>(1, most_hosts_ / 2) : most_hosts_);
 }
 
-HostList Gateway::Listed() const {
-  HostList list;
-  list.revision = revision_;
-  list.epoch = epoch_;
-  for (const auto& [id, host] : list_) list.hosts.push_back(host);
-  return list;
-}
-
-Estate Gateway::Leave() const { return {Listed(), policy_.Remember()}; }
+Estate Gateway::Leave() const { return {list_.Listed(), policy_.Remember()}; }
 
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,9 +18,9 @@
 
 #include "client_server.hpp"
 #include "config.hpp"
-#include "discovery.hpp"
 #include "figures.hpp"
 #include "host_pool.hpp"
+#include "list_follower.hpp"
 #include "management.hpp"
 #include "opalswitch/policy.hpp"
 #include "replacement.hpp"
@@ -73,7 +72,6 @@
   Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance,
           std::optional<KeptState> kept);
 
-  HostList Listed() const;
   Estate Leave() const;
   void SetPlaces(bool half);
   void LeaveTo(std::function<void()> done);
@@ -82,7 +80,6 @@
   void Take(ClientRequest request);
   void Told(const HostList& list);
   void ListFailed(Millis took);
-  std::string Refused(const HostList& list);
   bool ListOld() const;
   void Whole(const std::string& id, Millis at);
   void Begun(const std::string& id, std::size_t attempt, HttpResponse response,
@@ -120,16 +117,13 @@
   Policy policy_;
   const std::size_t most_clients_, most_hosts_;  // connections, while this process is the whole gateway
   HostPool hosts_;
-  Discovery discovery_;
+  ListFollower list_;
   std::unordered_map<std::string, Flow> flows_;
   std::deque<Event> events_;
   bool reporting_ = false;
   bool listed_ = false;  // some list of hosts is known
   bool stopping_ = false;
-  bool draining_ = false;             // by the operators' word
-  std::int64_t revision_ = 0;         // of the list of hosts
-  std::string epoch_;                 // the same; empty where the service has none
-  std::map<std::string, Host> list_;  // draining ones too
+  bool draining_ = false;  // by the operators' word
   Figures figures_;
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer counting_;
@@ -139,7 +133,6 @@
   Replacement replacement_;
   std::optional<StateKeeper> keeper_;
   boost::asio::steady_timer keep_;
-  const double most_removed_;
   const Millis list_old_after_, started_at_;
   bool said_old_ = false;
   Millis told_at_ = 0;      // when the list was last known to hold
