--- a/src/base/toml_reader.cpp
+++ b/src/base/toml_reader.cpp
@@ -148,6 +148,22 @@
   return texts;
 }
 
+std::vector<double> TomlTable::NumberList(const std::string& key, Range range) {
+  std::vector<double> numbers;
+  const toml::node* const node = impl_->Find(key);
+  if (node == nullptr) return numbers;
+  if (!node->is_array()) Fail(key, "must be an array of numbers");
+  for (const toml::node& item : *node->as_array()) {
+    const auto value = item.value<double>();
+    if (!value || !item.is_number() || !std::isfinite(*value)) Fail(key, "must be an array of numbers");
+    if (*value < range.least || *value > range.most) {
+      Fail(key, fmt::format("{} is not from {:g} to {:g}", *value, range.least, range.most));
+    }
+    numbers.push_back(*value);
+  }
+  return numbers;
+}
+
 std::map<std::string, double> TomlTable::Numbers(const std::string& key) {
   std::map<std::string, double> numbers;
   const auto table = Table(key);
--- a/src/base/toml_reader.hpp
+++ b/src/base/toml_reader.hpp
@@ -48,6 +48,8 @@
   std::string Word(const std::string& key, const std::string& otherwise,
                    const std::vector<std::string>& words);
   std::vector<std::string> Texts(const std::string& key);
+  // An array of numbers, in the file's order; empty where the key is missing.
+  std::vector<double> NumberList(const std::string& key, Range range = {});
   std::map<std::string, double> Numbers(const std::string& key);  // of a table of numbers, in the keys' order
   std::optional<TomlTable> Table(const std::string& key);
   std::vector<TomlTable> Tables(const std::string& key);  // [[key]]
--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -97,9 +97,11 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHead);
     EndIn(within);
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t got) {
       if (!self->open_) return;
       self->timer_.cancel();
+      self->got_ = got;
+      self->service_.counts_.bytes_in += got;
       if (ec == http::error::end_of_stream || (ec && !self->parser_->got_some())) return self->Close();
       if (ec == http::error::body_limit || ec == http::error::header_limit) {
         return self->Refuse(400, "bad_request", "the request is too long", false);
@@ -122,6 +124,9 @@
     if (!keep_) head_ += "Connection: close\r\n";
     head_ += "\r\n";
     body_ = std::move(body);
+    service_.counts_.bytes_out += head_.size() + body_->size();
+    if (for_list_) service_.counts_.list_bytes_out += head_.size() + body_->size();
+    for_list_ = false;
     EndIn(kWriteWithin, /*late=*/true);
     const std::array<asio::const_buffer, 2> parts{asio::buffer(head_), asio::buffer(*body_)};
     asio::async_write(socket_, parts, [self = shared_from_this()](error_code ec, std::size_t) {
@@ -160,6 +165,13 @@
     service_.Gone(*this);
   }
 
+  // The request is a call for the list.
+  void ForList() {
+    for_list_ = true;
+    ++service_.counts_.list_calls;
+    service_.counts_.list_bytes_in += got_;
+  }
+
   Revision after() const { return after_; }
   bool listing = false;  // it counts among the callers
 
@@ -181,7 +193,8 @@
   std::string head_;
   Body body_;
   Revision after_ = 0;
-  bool open_ = true, keep_ = true;
+  std::size_t got_ = 0;  // bytes of the request
+  bool open_ = true, keep_ = true, for_list_ = false;
 };
 
 Service::Service(asio::io_context& io, store::FileSystem& files, ServiceOptions options)
@@ -315,6 +328,7 @@
   const std::string_view path = target.substr(0, target.find('?'));
   const bool get = request.method() == http::verb::get;
   const bool list = path == "/discovery/hosts", renew = path == "/registry/renew";
+  if (list) session->ForList();
   // Operators have places of their own.
   if ((list || renew) && !session->listing) {
     if (listing_ >= options_.callers) {
@@ -615,6 +629,11 @@
   figure("writes_total", "counter", "Commands kept", counts_.writes);
   figure("syncs_total", "counter", "Syncs of the log", counts_.syncs);
   figure("whole_lists_total", "counter", "Whole lists told", counts_.lists);
+  figure("list_calls_total", "counter", "Requests for the list, watches among them", counts_.list_calls);
+  figure("bytes_received_total", "counter", "Bytes of requests", counts_.bytes_in);
+  figure("bytes_sent_total", "counter", "Bytes of answers begun", counts_.bytes_out);
+  figure("list_bytes_received_total", "counter", "The same, of requests for the list", counts_.list_bytes_in);
+  figure("list_bytes_sent_total", "counter", "The same, of answers to them", counts_.list_bytes_out);
   figure("encoded_total", "counter", "Bodies encoded", counts_.encoded);
   figure("turned_away_total", "counter", "Callers told to come back", counts_.turned_away);
   figure("cut_off_total", "counter", "Readers that were too slow", counts_.cut_off);
--- a/src/registry/service.hpp
+++ b/src/registry/service.hpp
@@ -112,7 +112,8 @@
   base::Millis started_ = 0, last_tick_ = 0;
   struct Counts {
     std::uint64_t calls = 0, writes = 0, syncs = 0, renewals = 0, lists = 0, turned_away = 0, cut_off = 0,
-                  encoded = 0;
+                  encoded = 0, list_calls = 0, bytes_in = 0, bytes_out = 0, list_bytes_in = 0,
+                  list_bytes_out = 0;
   } counts_;
   base::Histogram sync_us_;
 };
