Lab: a scale run measures what each role costs as the fleet grows

Need: capacity for the size in two years is to be worked out from measured slopes. Change: 'elderhead lab scale' plays a fleet at each point of one axis (the list service as a process, hosts that renew leases, real gateways under requests, hollow gateways with the real watch), fits the figures and draws them. What a machine can't bear is refused before anything starts.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -12,6 +12,7 @@
 #include "cli/call.hpp"
 #include "cli/registry.hpp"
 #include "cli/run.hpp"
+#include "cli/scale.hpp"
 #include "cli/state.hpp"
 #include "gateway/config.hpp"
 #include "lab/lab.hpp"
@@ -182,6 +183,8 @@
     };
   });
 
+  cli::AddScale(*lab_command, options.self, options.gateway, chosen);
+
   lab::StandIn stand_in;
   CLI::App* const stand =
       lab_command->add_subcommand("stand-in", "Serves as the plainest gateway, for the lab's own use");
--- /dev/null
+++ b/src/cli/scale.cpp
@@ -0,0 +1,155 @@
+#include "cli/scale.hpp"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "base/base.hpp"
+#include "base/clock.hpp"
+#include "base/endpoint.hpp"
+#include "lab/scale/fleet_measurer.hpp"
+#include "lab/scale/hollow_process.hpp"
+#include "lab/scale/scale_plot.hpp"
+#include "lab/scale/scale_sweep.hpp"
+
+namespace elderhead::cli {
+namespace {
+
+constexpr int kDone = 0, kOutside = 1;
+constexpr unsigned kAfterDeadline = 15;  // seconds: then the process ends itself, whatever it waits for
+
+struct ScaleOptions {
+  std::vector<std::string> files;
+  std::string json_dir = "docs/results/scale";
+  std::string revision;
+  bool quick = false, plots = true;
+  int plays = 0;
+  std::uint64_t seed = 0;
+  lab::ScalePrograms programs;
+};
+
+void Write(const std::filesystem::path& path, const std::string& text) {
+  std::filesystem::create_directories(path.parent_path());
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("can't write '" + path.string() + "'");
+}
+
+double Mean(const lab::PlayValues& values) {
+  double sum = 0;
+  for (const double value : values) sum += value;
+  return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+
+void Print(const lab::ScaleResult& result) {
+  fmt::print("\n{}: {}\n", result.name, result.about);
+  for (const lab::ScalePoint& point : result.points) {
+    fmt::print("  {} = {:g}\n", result.axis, point.value);
+    for (const auto& [role, figures] : point.roles) {
+      fmt::print("    {:14}", role);
+      for (const auto& [figure, values] : figures) fmt::print(" {} {:.4g}", figure, Mean(values));
+      fmt::print("\n");
+    }
+  }
+  for (const lab::RefusedPoint& refused : result.refused) {
+    fmt::print("  {} = {:g} refused: {}\n", result.axis, refused.value, refused.why);
+  }
+  for (const lab::ScaleFit& fit : result.fits) {
+    fmt::print("  {:14} {:28} {:8} {:.4g} + {:.4g} x, r2 {:.3f}; at {:g}: {:.4g} ({:.4g} to {:.4g}{})\n",
+               fit.role, fit.figure, lab::FitFormName(fit.form), fit.offset, fit.slope, fit.r2, fit.at_full.x,
+               fit.at_full.value, fit.at_full.low, fit.at_full.high,
+               fit.at_full.extrapolated ? ", extrapolated" : "");
+  }
+}
+
+int RunSweepFile(const lab::ScaleExperiment& experiment, const ScaleOptions& o, base::Millis deadline) {
+  lab::FleetMeasurer measurer(experiment, o.programs, o.quick, deadline);
+  lab::SweepOptions options;
+  options.quick = o.quick;
+  options.plays = o.plays;
+  options.seed = o.seed;
+  options.deadline = deadline;
+  options.note = [](const std::string& line) { fmt::print(stderr, "{}\n", line); };
+  lab::ScaleResult result = lab::RunSweep(experiment, measurer, options);
+  result.revision = o.revision;
+  const std::filesystem::path folder(o.json_dir);
+  Write(folder / (result.name + ".json"), lab::ToJson(result).dump(1) + "\n");
+  Print(result);
+  if (o.plots && !result.points.empty()) lab::WriteScalePlots(result, folder);
+  return result.points.empty() ? kOutside : kDone;
+}
+
+// Whatever hangs, the process ends, and all that it started with it.
+void EndWithin(base::Millis time) { alarm(static_cast<unsigned>(std::ceil(time / 1000)) + kAfterDeadline); }
+
+int RunFiles(const ScaleOptions& o) {
+  base::RaiseDescriptors();
+  std::signal(SIGPIPE, SIG_IGN);
+  // All are read, and refused where they ask for too much, before any is played.
+  const lab::ScaleLimits limits = lab::LimitsOfThisMachine();
+  std::vector<lab::ScaleExperiment> experiments;
+  for (const std::string& file : o.files) experiments.push_back(lab::ReadScaleExperiment(file, limits));
+  int code = kDone;
+  for (const lab::ScaleExperiment& experiment : experiments) {
+    const base::Millis begun = base::Now();
+    EndWithin(experiment.ends_within);
+    const base::Millis deadline = begun + experiment.ends_within;
+    code = std::max(code, RunSweepFile(experiment, o, deadline));
+    alarm(0);
+    fmt::print("{}: {:.1f} s\n", experiment.name, (base::Now() - begun) / 1000);
+  }
+  return code;
+}
+
+}  // namespace
+
+void AddScale(CLI::App& lab, const std::string& self, const std::string& gateway,
+              std::function<int()>& chosen) {
+  const auto o = std::make_shared<ScaleOptions>();
+  o->programs = {self, gateway};
+  CLI::App* const scale =
+      lab.add_subcommand("scale", "Measures what each role costs as the fleet grows, and fits the slopes");
+  scale->add_option("FILE", o->files, "Experiments, see experiments/scale/")->required();
+  scale->add_option("--json-dir", o->json_dir, "Folder for the results and plots")->capture_default_str();
+  scale->add_option("--gateway", o->programs.gateway, "Command of the gateway")->capture_default_str();
+  scale->add_option("--plays", o->plays, "Of each point; as the file says unless given")
+      ->check(CLI::Range(1, 100));
+  scale->add_option("--seed", o->seed, "Of the first play; as the file says unless given");
+  scale->add_option("--revision", o->revision, "Of the program, for the results");
+  scale->add_flag("--quick", o->quick, "Fewer, smaller and shorter points, one play");
+  scale->add_flag("!--no-plots", o->plots, "Draw nothing");
+  scale->footer(
+      "Exit codes: 0 measured, 1 nothing could be measured or hollow gateways differ from real ones, 2 wrong "
+      "use.\nExample: elderhead lab scale experiments/scale/hosts.toml --quick --json-dir /tmp/scale");
+  scale->callback([&chosen, o] { chosen = [o] { return RunFiles(*o); }; });
+
+  const auto hollow = std::make_shared<lab::HollowOptions>();
+  const auto control = std::make_shared<std::string>();
+  CLI::App* const serve =
+      lab.add_subcommand("hollow-gateways", "Gateways without a request path, for the lab's own use");
+  serve->add_option("CONFIG", hollow->config, "Of the first one, as NODE_CONFIG")->required();
+  serve->add_option("--count", hollow->count, "How many")
+      ->check(CLI::Range(1, 100000))
+      ->capture_default_str();
+  serve->add_option("--first", hollow->first, "Index of the first one")->capture_default_str();
+  serve->add_option("--control", *control, "Address and port where the tool asks")->required();
+  serve->footer("Example: elderhead lab hollow-gateways n0.json --count 100 --control 127.0.0.1:3900");
+  serve->callback([&chosen, hollow, control] {
+    chosen = [hollow, control] {
+      const auto address = base::ParseEndpoint(*control);
+      if (!address) throw std::invalid_argument("--control: '" + *control + "' is not an address and port");
+      hollow->control = *address;
+      return lab::ServeHollowGateways(*hollow);
+    };
+  });
+}
+
+}  // namespace elderhead::cli
--- /dev/null
+++ b/src/lab/scale/event_loop.hpp
@@ -0,0 +1,57 @@
+// The one event loop of a run: everything that the tool itself does happens in it, and every wait ends by the
+// run's deadline. One thread.
+#ifndef ELDERHEAD_LAB_SCALE_EVENT_LOOP_HPP_
+#define ELDERHEAD_LAB_SCALE_EVENT_LOOP_HPP_
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <stdexcept>
+#include <string>
+
+#include "base/clock.hpp"
+
+namespace elderhead::lab {
+
+using base::Millis;
+
+// Something did not happen in time; what() names it.
+class ScaleTimeout : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+class EventLoop {
+ public:
+  // No wait lasts beyond `deadline` (base::Now).
+  explicit EventLoop(Millis deadline) : deadline_(deadline) {}
+
+  boost::asio::io_context& io() { return io_; }
+
+  // Runs the loop until `done()`. Throws ScaleTimeout, naming `what`, after `patience`.
+  template <typename Done>
+  void RunUntil(const std::string& what, Millis patience, Done done) {
+    const Millis until = std::min(deadline_, base::Now() + patience);
+    while (!done()) {
+      if (base::Now() > until) throw ScaleTimeout(what + " did not happen in time");
+      io_.run_one_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  // Runs the loop for so long.
+  void RunFor(Millis time) {
+    const Millis until = base::Now() + time;
+    if (until > deadline_) throw ScaleTimeout("the run's deadline is too near for another window");
+    while (base::Now() < until) {
+      io_.run_one_for(std::chrono::microseconds(static_cast<int>(1000 * (until - base::Now())) + 1));
+    }
+  }
+
+ private:
+  boost::asio::io_context io_{1};
+  const Millis deadline_;
+};
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_EVENT_LOOP_HPP_
--- /dev/null
+++ b/src/lab/scale/gateway_configuration.cpp
@@ -0,0 +1,74 @@
+#include "lab/scale/gateway_configuration.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "lab/addresses.hpp"
+
+namespace elderhead::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMemoryMb = 2048;
+constexpr int kSockets = 4096;
+constexpr double kIdleMs = 15000;
+constexpr double kTenantQuota = 1000;  // above what any tenant of a run sends
+
+json Classes(int count) {
+  json classes = json::array();
+  for (int i = 0; i < count; ++i) {
+    classes.push_back({{"name", fmt::format("class-{}", i)},
+                       {"sloMs", 500},
+                       {"deadlineMs", 1000},
+                       {"importance", 1},
+                       {"lateWorth", 0.3},
+                       {"idempotency", "pure"},
+                       {"group", "all"},
+                       {"repeatWindowMs", 0}});
+  }
+  return classes;
+}
+
+json Tenants(int count) {
+  json tenants = json::array();
+  for (int i = 0; i < count; ++i) {
+    tenants.push_back({{"name", fmt::format("tenant-{}", i)}, {"quotaPerS", kTenantQuota}});
+  }
+  return tenants;
+}
+
+}  // namespace
+
+json GatewayConfiguration(const FleetSize& size, const GatewayPlace& place) {
+  const int gateways =
+      size.gateways_stated > 0 ? size.gateways_stated : size.gateways_real + size.gateways_hollow;
+  const std::string zone(1, static_cast<char>('a' + place.index % size.zones));
+  const std::string list_service = Addresses::Text(place.list_service);
+  json config{{"name", fmt::format("n{}", place.index)},
+              {"listen", Addresses::Text(place.listen)},
+              {"discovery", list_service},
+              {"discovery_endpoints", {list_service}},
+              {"seed", fmt::format("{:x}", place.seed)},
+              {"limits", {{"cores", 1.0}, {"memory_mb", kMemoryMb}, {"sockets", kSockets}}},
+              {"settings",
+               {{"zone", zone},
+                {"peersTotal", std::max(1, gateways)},
+                {"selfIndex", place.index},
+                {"membershipMode", "ask"},
+                {"categories", Classes(size.classes)},
+                {"projects", Tenants(size.tenants)},
+                {"limits",
+                 {{"maxAttempts", 3},
+                  {"cancelling", true},
+                  {"retryAfter", true},
+                  {"maxRetryAfterMs", 2000},
+                  {"dialTimeoutMs", 250},
+                  {"connIdleMs", kIdleMs}}},
+                {"rules", {{"askWithinMs", 10000}, {"coldFrom", 1}, {"coldMs", 0}, {"fallMultiple", 3}}}}}};
+  if (!place.known.is_null()) config["known"] = place.known;
+  return config;
+}
+
+}  // namespace elderhead::lab
--- /dev/null
+++ b/src/lab/scale/gateway_configuration.hpp
@@ -0,0 +1,27 @@
+// The configuration file of a gateway of a scale run, real or hollow: DEPLOY's NODE_CONFIG.
+#ifndef ELDERHEAD_LAB_SCALE_GATEWAY_CONFIGURATION_HPP_
+#define ELDERHEAD_LAB_SCALE_GATEWAY_CONFIGURATION_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "lab/scale/scale_experiment.hpp"
+
+namespace elderhead::lab {
+
+struct GatewayPlace {
+  int index = 0;  // in the fleet
+  boost::asio::ip::tcp::endpoint listen;
+  boost::asio::ip::tcp::endpoint list_service;
+  std::uint64_t seed = 0;
+  nlohmann::json known;  // a list in the published form; null: none
+};
+
+// Class i is named "class-i" and tenant i "tenant-i".
+nlohmann::json GatewayConfiguration(const FleetSize& size, const GatewayPlace& place);
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_GATEWAY_CONFIGURATION_HPP_
--- /dev/null
+++ b/src/lab/scale/hollow_process.hpp
@@ -0,0 +1,47 @@
+// A process of many hollow gateways, and how the tool asks it what they have heard.
+#ifndef ELDERHEAD_LAB_SCALE_HOLLOW_PROCESS_HPP_
+#define ELDERHEAD_LAB_SCALE_HOLLOW_PROCESS_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "base/base.hpp"
+
+namespace elderhead::lab {
+
+// Of `elderhead lab hollow-gateways`.
+struct HollowOptions {
+  std::string config;  // a gateway's, in the form of NODE_CONFIG; `seed` and `selfIndex` are of the first one
+  int count = 1;
+  int first = 0;                           // index of the first one
+  boost::asio::ip::tcp::endpoint control;  // where the tool asks
+};
+
+// Serves until SIGTERM. Returns the exit code. Throws opalswitch::gateway::ConfigError.
+int ServeHollowGateways(const HollowOptions& options);
+
+// What a hollow process tells at GET /state.
+struct HollowState {
+  int gateways = 0, ready = 0;       // ready: a call has been answered and hosts are known
+  std::int64_t oldest_revision = 0;  // of any gateway
+  base::Millis all_ready_at = 0;     // base::Now; 0: not yet
+};
+nlohmann::json ToJson(const HollowState& state);
+HollowState HollowStateFromJson(const nlohmann::json& json);
+
+// When a gateway had which revision; base::Now.
+struct RevisionHeard {
+  std::int64_t revision = 0;
+  base::Millis at = 0;
+};
+// By gateway, in the order in which they were heard since the last such question: GET /news.
+using HollowNews = std::vector<std::vector<RevisionHeard>>;
+nlohmann::json ToJson(const HollowNews& news);
+HollowNews HollowNewsFromJson(const nlohmann::json& json);
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_HOLLOW_PROCESS_HPP_
--- /dev/null
+++ b/src/lab/scale/request_load.cpp
@@ -0,0 +1,144 @@
+#include "lab/scale/request_load.hpp"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <system_error>
+#include <utility>
+
+namespace elderhead::lab {
+namespace {
+
+using base::ClientConnection;
+using boost::system::error_code;
+
+constexpr Millis kAtHost = 20;  // an answer takes a host so long
+constexpr Millis kDeadline = 1000;
+constexpr Millis kPatience = 3000;
+constexpr int kBacklog = 4096;
+constexpr std::size_t kAnswerBytes = 200;
+
+// Only the loopback reaches the listener, though it is bound to all addresses.
+void KeepToLoopback(tcp::acceptor& acceptor) {
+  constexpr std::array<char, 3> kLoopback{'l', 'o', '\0'};
+  if (setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_BINDTODEVICE, kLoopback.data(), kLoopback.size()) !=
+      0) {
+    throw std::system_error(errno, std::generic_category(), "can't keep the hosts' listener to the loopback");
+  }
+}
+
+}  // namespace
+
+Millis HeldTimes::Take(const std::string& id) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return 0;
+  const Millis held = found->second;
+  held_.erase(found);
+  return held;
+}
+
+EmulatedHosts::EmulatedHosts(EventLoop& loop, HeldTimes& held)
+    : loop_(loop),
+      held_(held),
+      acceptor_(loop.io(), tcp::v4()),
+      handlers_(std::make_shared<const ServerConnection::Handlers>(ServerConnection::Handlers{
+          [this](const auto& connection, const HttpRequest& request) { Answer(connection, request); },
+          [](const auto&) {}})) {
+  KeepToLoopback(acceptor_);
+  acceptor_.bind({boost::asio::ip::address_v4::any(), 0});
+  acceptor_.listen(kBacklog);
+  port_ = acceptor_.local_endpoint().port();
+  Accept();
+}
+
+EmulatedHosts::~EmulatedHosts() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void EmulatedHosts::Accept() {
+  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted) return;
+    if (!ec) std::make_shared<ServerConnection>(std::move(socket), nullptr, handlers_)->Begin();
+    Accept();
+  });
+}
+
+void EmulatedHosts::Answer(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(loop_.io(), base::Span(kAtHost));
+  timer->async_wait(
+      [this, timer, connection, id = std::string(request["Req-Id"]), begun = base::Now()](error_code ec) {
+        if (ec) return;
+        held_.Add(id, base::Now() - begun);
+        connection->Answer(MakeResponse(200, std::string(kAnswerBytes, 'x')));
+      });
+}
+
+RequestLoad::RequestLoad(EventLoop& loop, HeldTimes& held, std::vector<tcp::endpoint> gateways,
+                         const FleetSize& size, std::uint64_t seed)
+    : loop_(loop), held_(held), size_(size), random_(seed), timer_(loop.io()) {
+  for (tcp::endpoint& gateway : gateways) targets_.push_back({std::move(gateway), {}});
+}
+
+void RequestLoad::Start() {
+  if (size_.requests_per_s <= 0 || targets_.empty() || std::exchange(on_, true)) return;
+  next_ = base::Now();
+  SendDue();
+}
+
+void RequestLoad::Stop() {
+  on_ = false;
+  timer_.cancel();
+}
+
+void RequestLoad::SendDue() {
+  if (!on_) return;
+  std::exponential_distribution<double> gap(size_.requests_per_s * static_cast<double>(targets_.size()) /
+                                            1000);
+  for (const Millis now = base::Now(); next_ <= now; next_ += gap(random_)) {
+    SendTo(targets_[next_target_++ % targets_.size()]);
+  }
+  timer_.expires_after(base::Span(next_ - base::Now()));
+  timer_.async_wait([this](error_code ec) {
+    if (!ec) SendDue();
+  });
+}
+
+std::string RequestLoad::Text(const std::string& id) {
+  const auto draw = [this](int count) { return std::uniform_int_distribution<int>(0, count - 1)(random_); };
+  std::string text = fmt::format(
+      "GET /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {}\r\nReq-Kind: class-{}\r\nReq-Deadline: "
+      "{:.0f}m\r\n",
+      id, draw(size_.classes), kDeadline);
+  if (size_.tenants > 0) text += fmt::format("Req-Owner: tenant-{}\r\n", draw(size_.tenants));
+  return text + "\r\n";
+}
+
+void RequestLoad::SendTo(Target& target) {
+  std::shared_ptr<ClientConnection> connection;
+  while (!connection && !target.free.empty()) {
+    connection = std::move(target.free.back());
+    target.free.pop_back();
+    if (!connection->usable()) connection.reset();
+  }
+  if (!connection) connection = std::make_shared<ClientConnection>(loop_.io(), target.address);
+  const std::string id = fmt::format("{:016x}", ++next_id_);
+  ++counts_.sent;
+  connection->Exchange(
+      Text(id), kPatience,
+      [this, &target, connection, id, sent = base::Now()](ClientConnection::Result result) {
+        const Millis held = held_.Take(id);
+        if (connection->usable()) target.free.push_back(connection);
+        if (result.failure != ClientConnection::Failure::kNone || result.response.result_int() != 200) {
+          return void(++counts_.not_served);
+        }
+        ++counts_.served;
+        added_.Add(static_cast<std::uint64_t>(std::max(0.0, 1000 * (base::Now() - sent - held))));
+      });
+}
+
+base::Histogram RequestLoad::TakeAdded() { return std::exchange(added_, {}); }
+
+}  // namespace elderhead::lab
--- /dev/null
+++ b/src/lab/scale/scale_fleet.cpp
@@ -0,0 +1,273 @@
+#include "lab/scale/scale_fleet.hpp"
+
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <utility>
+
+namespace elderhead::lab {
+namespace {
+
+using base::ClientConnection;
+using nlohmann::json;
+
+constexpr Millis kStartWithin = 15000;
+constexpr Millis kAnswerWithin = 20000;
+constexpr Millis kAskAgain = 20;   // the list service, and hollow processes
+constexpr Millis kAskReady = 5;    // a real gateway whether it takes clients
+constexpr int kHollowBlock = 200;  // last numbers of addresses, in the run's block
+constexpr std::uint16_t kControlPort = 3900;
+constexpr std::uint16_t kNobodyPort = 9;
+constexpr std::uint64_t kSeedsPerRun = 100000;
+
+std::string GetRequest(const std::string& target) {
+  return fmt::format("GET {} HTTP/1.1\r\nHost: scale\r\n\r\n", target);
+}
+
+// A counter of Prometheus' text form; 0 where it is missing.
+double CounterOf(const std::string& text, const std::string& name) {
+  const std::string line = "\nelderhead_registry_" + name + " ";
+  const std::size_t at = text.find(line);
+  return at == std::string::npos ? 0 : std::atof(text.c_str() + at + line.size());
+}
+
+}  // namespace
+
+ScaleFleet::ScaleFleet(ScalePrograms programs, FleetSize size, std::uint64_t seed, Millis deadline)
+    : programs_(std::move(programs)),
+      size_(size),
+      seed_(seed),
+      loop_(deadline),
+      addresses_(loop_.io()),
+      hosts_(loop_, held_),
+      members_(std::make_unique<FleetMembers>(loop_, addresses_.Registry(), size, hosts_.port(), seed)),
+      processes_(loop_.io(), [this](const ProcessEnd& end) {
+        if (logs_.contains(end.pid)) ended_[end.pid] = end.Words();
+      }) {}
+
+ScaleFleet::~ScaleFleet() {
+  logs_.clear();  // they end as they should
+  processes_.EndAll();
+}
+
+void ScaleFleet::Write(const std::filesystem::path& path, const std::string& text) const {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("can't write '" + path.string() + "'");
+}
+
+std::string ScaleFleet::LastLine(const std::string& log) const {
+  std::ifstream lines(log);
+  std::string last;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.empty()) last = line;
+  }
+  return last;
+}
+
+// A process that ended by itself does not run at this size.
+void ScaleFleet::CheckAlive() const {
+  if (ended_.empty()) return;
+  const auto& [pid, how] = *ended_.begin();
+  throw PointRefused(fmt::format("refused at the start ({}): {}", how, LastLine(logs_.at(pid))));
+}
+
+std::optional<std::string> ScaleFleet::Get(const tcp::endpoint& from, const std::string& target) {
+  auto& connection = connections_[from];
+  if (!connection || !connection->usable()) connection = std::make_shared<ClientConnection>(loop_.io(), from);
+  std::optional<ClientConnection::Result> result;
+  connection->Exchange(GetRequest(target), kAnswerWithin,
+                       [&](ClientConnection::Result got) { result = std::move(got); });
+  loop_.RunUntil("an answer to " + target, 2 * kAnswerWithin, [&] { return result.has_value(); });
+  CheckAlive();
+  if (result->failure != ClientConnection::Failure::kNone || result->response.result_int() != 200) return {};
+  return std::move(result->response.body());
+}
+
+Millis ScaleFleet::StartListService() {
+  const std::filesystem::path config = At("registry.toml");
+  Write(config, fmt::format("listen = \"{}\"\nstate_dir = \"{}\"\n[watches]\ncallers = {}\n"
+                            "whole_lists_per_s = {}\n[leases]\nterm_s = {}\n",
+                            Addresses::Text(addresses_.Registry()), At("registry-state").string(),
+                            size_.gateways_real + size_.gateways_hollow + 2000, size_.whole_lists_per_s,
+                            size_.lease_term / 1000));
+  ProcessSpec spec;
+  spec.command = fmt::format("{} registry serve {}", programs_.elderhead, config.string());
+  spec.log = At("registry.log").string();
+  const Millis begun = base::Now();
+  list_service_pid_ = processes_.Start(spec);
+  logs_[list_service_pid_] = spec.log;
+  while (!Get(addresses_.Registry(), "/registry/status")) {
+    if (base::Now() > begun + kStartWithin) throw ScaleTimeout("the list service does not answer");
+    loop_.RunFor(kAskAgain);
+  }
+  return base::Now() - begun;
+}
+
+void ScaleFleet::KillListService() {
+  logs_.erase(list_service_pid_);
+  processes_.Signal(list_service_pid_, SIGKILL);
+  list_service_pid_ = 0;
+}
+
+ListServiceCounts ScaleFleet::Counts() {
+  const std::string text = Get(addresses_.Registry(), "/metrics").value_or("");
+  const auto counter = [&](const char* name) { return CounterOf(text, name); };
+  ListServiceCounts c;
+  c.calls = counter("calls_total");
+  c.list_calls = counter("list_calls_total");
+  c.whole_lists = counter("whole_lists_total");
+  c.writes = counter("writes_total");
+  c.turned_away = counter("turned_away_total");
+  c.bytes_in = counter("bytes_received_total");
+  c.bytes_out = counter("bytes_sent_total");
+  c.list_bytes_in = counter("list_bytes_received_total");
+  c.list_bytes_out = counter("list_bytes_sent_total");
+  c.watches = counter("watches");
+  c.revision = counter("revision");
+  return c;
+}
+
+std::string ScaleFleet::WholeList() {
+  auto list = Get(addresses_.Registry(), "/discovery/hosts");
+  if (!list) throw std::runtime_error("the list service does not tell its list");
+  return std::move(*list);
+}
+
+tcp::endpoint ScaleFleet::Place(int last, std::uint16_t port) const {
+  return {addresses_.Gateway(last - 1).address(), port};
+}
+
+pid_t ScaleFleet::StartGateway(const std::string& name, const GatewayPlace& place) {
+  const std::filesystem::path folder = At(name), config = folder / "config.json";
+  std::filesystem::create_directories(folder);
+  Write(config, GatewayConfiguration(size_, place).dump());
+  ProcessSpec spec;
+  spec.command = programs_.gateway;
+  spec.log = (folder / "log").string();
+  spec.variables = {{"NODE_NAME", name},
+                    {"NODE_LISTEN", Addresses::Text(place.listen)},
+                    {"NODE_DISCOVERY", Addresses::Text(place.list_service)},
+                    {"NODE_CONFIG", config.string()},
+                    {"TMPDIR", folder.string()}};
+  const pid_t pid = processes_.Start(spec);
+  logs_[pid] = spec.log;
+  return pid;
+}
+
+pid_t ScaleFleet::StartLoneGateway(const json& known) {
+  GatewayPlace place;
+  place.listen = Place(kHollowBlock - ++lone_, 3000);
+  place.list_service = Place(kHollowBlock - lone_, kNobodyPort);
+  place.seed = seed_ * kSeedsPerRun;
+  place.known = known;
+  return StartGateway(fmt::format("lone-{}", lone_), place);
+}
+
+void ScaleFleet::End(pid_t pid) {
+  logs_.erase(pid);
+  processes_.Signal(pid, SIGKILL);
+}
+
+void ScaleFleet::StartRealGateways() {
+  std::vector<tcp::endpoint> addresses;
+  for (int g = 0; g < size_.gateways_real; ++g) {
+    GatewayPlace place;
+    place.index = g;
+    place.listen = addresses_.Gateway(g);
+    place.list_service = addresses_.Registry();
+    place.seed = seed_ * kSeedsPerRun + static_cast<std::uint64_t>(g);
+    RealGateway& gateway = real_.emplace_back();
+    gateway.address = place.listen;
+    gateway.started_at = base::Now();
+    gateway.pid = StartGateway(fmt::format("gateway-{}", g), place);
+    addresses.push_back(place.listen);
+  }
+  const Millis until = base::Now() + kStartWithin;
+  for (bool all = false; !all;) {
+    all = true;
+    for (RealGateway& gateway : real_) {
+      if (gateway.ready_at > 0) continue;
+      if (Get(gateway.address, "/up")) gateway.ready_at = base::Now();
+      all = all && gateway.ready_at > 0;
+    }
+    if (all) break;
+    if (base::Now() > until) throw ScaleTimeout("a real gateway does not become ready");
+    loop_.RunFor(kAskReady);
+  }
+  requests_ = std::make_unique<RequestLoad>(loop_, held_, std::move(addresses), size_, seed_);
+}
+
+void ScaleFleet::StartHollowGateways(const json& known) {
+  const int processes = HollowProcesses(size_.gateways_hollow);
+  int begun = 0;
+  for (int p = 0; p < processes; ++p) {
+    HollowGroup& group = hollow_.emplace_back();
+    group.gateways = (size_.gateways_hollow - begun) / (processes - p);
+    group.control = Place(kHollowBlock + p, kControlPort);
+    GatewayPlace place;
+    place.index = size_.gateways_real + begun;
+    place.listen = group.control;
+    place.list_service = addresses_.Registry();
+    place.seed = seed_ * kSeedsPerRun + static_cast<std::uint64_t>(place.index);
+    place.known = known;
+    const std::string name = fmt::format("hollow-{}", p);
+    const std::filesystem::path config = At(name + ".json");
+    Write(config, GatewayConfiguration(size_, place).dump());
+    ProcessSpec spec;
+    spec.command =
+        fmt::format("{} lab hollow-gateways {} --count {} --first {} --control {}", programs_.elderhead,
+                    config.string(), group.gateways, place.index, Addresses::Text(group.control));
+    spec.log = At(name + ".log").string();
+    group.started_at = base::Now();
+    group.pid = processes_.Start(spec);
+    logs_[group.pid] = spec.log;
+    begun += group.gateways;
+  }
+}
+
+HollowState ScaleFleet::StateOf(const HollowGroup& group) {
+  const json form =
+      json::parse(Get(group.control, "/state").value_or(""), nullptr, /*allow_exceptions=*/false);
+  return form.is_object() ? HollowStateFromJson(form) : HollowState{};
+}
+
+Millis ScaleFleet::AwaitHollowReady(Millis patience) {
+  const Millis until = base::Now() + patience;
+  Millis last = 0;
+  for (const HollowGroup& group : hollow_) {
+    HollowState state;
+    while ((state = StateOf(group)).all_ready_at <= 0) {
+      if (base::Now() > until) throw ScaleTimeout("the start of all hollow gateways did not happen in time");
+      loop_.RunFor(kAskAgain);
+    }
+    last = std::max(last, state.all_ready_at);
+  }
+  return hollow_.empty() ? 0 : last - hollow_.front().started_at;
+}
+
+void ScaleFleet::AwaitHollowRevision(std::int64_t revision, Millis patience) {
+  const Millis until = base::Now() + patience;
+  for (const HollowGroup& group : hollow_) {
+    while (StateOf(group).oldest_revision < revision) {
+      if (base::Now() > until) throw ScaleTimeout("the news of all hollow gateways did not come in time");
+      loop_.RunFor(kAskAgain);
+    }
+  }
+}
+
+HollowNews ScaleFleet::TakeHollowNews() {
+  HollowNews all;
+  for (const HollowGroup& group : hollow_) {
+    const json form =
+        json::parse(Get(group.control, "/news").value_or(""), nullptr, /*allow_exceptions=*/false);
+    if (!form.is_array()) throw std::runtime_error("a process of hollow gateways does not answer");
+    std::ranges::move(HollowNewsFromJson(form), std::back_inserter(all));
+  }
+  return all;
+}
+
+}  // namespace elderhead::lab
--- /dev/null
+++ b/src/lab/scale/scale_fleet.hpp
@@ -0,0 +1,130 @@
+// The processes of one point: the list service, real gateways, processes of hollow gateways, and the tool's
+// own side of hosts, operators and clients. All end with the fleet. One thread.
+#ifndef ELDERHEAD_LAB_SCALE_SCALE_FLEET_HPP_
+#define ELDERHEAD_LAB_SCALE_SCALE_FLEET_HPP_
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/addresses.hpp"
+#include "lab/processes.hpp"
+#include "lab/scale/event_loop.hpp"
+#include "lab/scale/fleet_members.hpp"
+#include "lab/scale/gateway_configuration.hpp"
+#include "lab/scale/hollow_process.hpp"
+#include "lab/scale/request_load.hpp"
+#include "lab/scale/scale_experiment.hpp"
+#include "lab/temporary_folder.hpp"
+
+namespace elderhead::lab {
+
+// The program under test does not run at this size; what() is its own message.
+class PointRefused : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct ScalePrograms {
+  std::string elderhead;  // this program: the list service and the hollow gateways
+  std::string gateway;    // the gateway under test
+};
+
+// Counters of the list service.
+struct ListServiceCounts {
+  double calls = 0, list_calls = 0, whole_lists = 0, writes = 0, turned_away = 0;
+  double bytes_in = 0, bytes_out = 0, list_bytes_in = 0, list_bytes_out = 0;
+  double watches = 0, revision = 0;
+};
+
+struct RealGateway {
+  pid_t pid = 0;
+  tcp::endpoint address;
+  Millis started_at = 0, ready_at = 0;  // base::Now
+};
+
+struct HollowGroup {
+  pid_t pid = 0;
+  tcp::endpoint control;
+  int gateways = 0;
+  Millis started_at = 0;
+};
+
+class ScaleFleet {
+ public:
+  // No wait goes beyond `deadline` (base::Now).
+  ScaleFleet(ScalePrograms programs, FleetSize size, std::uint64_t seed, Millis deadline);
+  ~ScaleFleet();
+
+  EventLoop& loop() { return loop_; }
+  const FleetSize& size() const { return size_; }
+
+  // Returns the time until it answered, in ms.
+  Millis StartListService();
+  void KillListService();
+  pid_t list_service() const { return list_service_pid_; }
+  ListServiceCounts Counts();
+  // The published list as it is now.
+  std::string WholeList();
+  FleetMembers& members() { return *members_; }
+
+  // A gateway outside the fleet whose list service never answers; it has `known` (null: none) as its list.
+  pid_t StartLoneGateway(const nlohmann::json& known);
+  void End(pid_t pid);
+  // Returns when all take clients.
+  void StartRealGateways();
+  const std::vector<RealGateway>& real() const { return real_; }
+  RequestLoad& requests() { return *requests_; }
+
+  // `known`: their list at the start; null: none. The indices follow those of the real ones.
+  void StartHollowGateways(const nlohmann::json& known);
+  // Until all have heard from the list service. Returns the time from the first one's start, in ms.
+  Millis AwaitHollowReady(Millis patience);
+  // Until none has an older revision.
+  void AwaitHollowRevision(std::int64_t revision, Millis patience);
+  const std::vector<HollowGroup>& hollow() const { return hollow_; }
+  // What they have heard since the last call of this, by gateway.
+  HollowNews TakeHollowNews();
+
+ private:
+  void Write(const std::filesystem::path& path, const std::string& text) const;
+  std::filesystem::path At(const std::string& name) const { return folder_.path() / name; }
+  pid_t StartGateway(const std::string& name, const GatewayPlace& place);
+  std::string LastLine(const std::string& log) const;
+  // The body of an answer 200; nothing for any other, or for none.
+  std::optional<std::string> Get(const tcp::endpoint& from, const std::string& target);
+  HollowState StateOf(const HollowGroup& group);
+  void CheckAlive() const;
+  tcp::endpoint Place(int last, std::uint16_t port) const;
+
+  const ScalePrograms programs_;
+  const FleetSize size_;
+  const std::uint64_t seed_;
+  EventLoop loop_;
+  TemporaryFolder folder_;
+  Addresses addresses_;
+  HeldTimes held_;
+  EmulatedHosts hosts_;
+  std::unique_ptr<FleetMembers> members_;
+  std::unique_ptr<RequestLoad> requests_;
+  std::vector<RealGateway> real_;
+  std::vector<HollowGroup> hollow_;
+  std::map<tcp::endpoint, std::shared_ptr<base::ClientConnection>> connections_;  // for questions
+  std::map<pid_t, std::string> logs_;                                             // of processes that run
+  std::map<pid_t, std::string> ended_;                                            // unasked, and how
+  pid_t list_service_pid_ = 0;
+  int lone_ = 0;
+  Processes processes_;
+};
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_SCALE_FLEET_HPP_
