Lab: hollow gateways are compared with real ones, and two storms

Need: figures from hollow gateways count only where they are to the list service what real ones are; and the moments at which everyone comes at once are what breaks a list service.

--- a/src/cli/scale.cpp
+++ b/src/cli/scale.cpp
@@ -16,9 +16,11 @@
 #include "base/clock.hpp"
 #include "base/endpoint.hpp"
 #include "lab/scale/fleet_measurer.hpp"
+#include "lab/scale/hollow_comparison.hpp"
 #include "lab/scale/hollow_process.hpp"
 #include "lab/scale/scale_plot.hpp"
 #include "lab/scale/scale_sweep.hpp"
+#include "lab/scale/storms.hpp"
 
 namespace elderhead::cli {
 namespace {
@@ -30,7 +32,7 @@
   std::vector<std::string> files;
   std::string json_dir = "docs/results/scale";
   std::string revision;
-  bool quick = false, plots = true;
+  bool quick = false, plots = true, compare = false;
   int plays = 0;
   std::uint64_t seed = 0;
   lab::ScalePrograms programs;
@@ -43,6 +45,8 @@
   if (!out.flush()) throw std::runtime_error("can't write '" + path.string() + "'");
 }
 
+void Note(const std::string& line) { fmt::print(stderr, "{}\n", line); }
+
 double Mean(const lab::PlayValues& values) {
   double sum = 0;
   for (const double value : values) sum += value;
@@ -77,7 +81,7 @@
   options.plays = o.plays;
   options.seed = o.seed;
   options.deadline = deadline;
-  options.note = [](const std::string& line) { fmt::print(stderr, "{}\n", line); };
+  options.note = Note;
   lab::ScaleResult result = lab::RunSweep(experiment, measurer, options);
   result.revision = o.revision;
   const std::filesystem::path folder(o.json_dir);
@@ -87,22 +91,64 @@
   return result.points.empty() ? kOutside : kDone;
 }
 
+int RunStormsFile(const lab::ScaleExperiment& experiment, const ScaleOptions& o, base::Millis deadline) {
+  const std::vector<lab::StormResult> storms =
+      lab::PlayStorms(experiment, o.programs, {o.quick, o.plays, o.seed, deadline, Note});
+  Write(std::filesystem::path(o.json_dir) / (experiment.name + ".json"),
+        lab::StormsToJson(storms).dump(1) + "\n");
+  for (const lab::StormResult& storm : storms) {
+    fmt::print(
+        "{:22} peak {:.4g} bytes/s, {:.0f}% of a core, {:.0f} requests waiting; all current after {:.0f} "
+        "ms\n",
+        storm.storm, storm.peak_bytes_per_s, storm.peak_cpu_percent, storm.peak_queue, storm.all_current_ms);
+  }
+  return kDone;
+}
+
+int RunComparison(const lab::ScaleExperiment& experiment, const ScaleOptions& o, base::Millis deadline) {
+  const lab::HollowComparison comparison = lab::CompareHollowGateways(
+      o.programs, o.quick ? experiment.quick_fixed : experiment.fixed,
+      o.quick ? experiment.quick_windows : experiment.windows, o.plays > 0 ? o.plays : experiment.plays,
+      o.seed > 0 ? o.seed : experiment.seed, deadline);
+  Write(std::filesystem::path(o.json_dir) / (experiment.name + ".json"),
+        lab::ToJson(comparison).dump(1) + "\n");
+  fmt::print("{} hollow gateways against as many real ones, at the list service:\n", comparison.gateways);
+  for (const lab::UseRatio& ratio : comparison.ratios) {
+    fmt::print("  {:18} real {:10.6g} hollow {:10.6g} ratio {:.3f}\n", ratio.figure, ratio.real, ratio.hollow,
+               ratio.ratio());
+  }
+  const bool holds = comparison.Holds(/*speeds=*/true);
+  fmt::print("{}\n", holds ? "held: each within 10%" : "BROKEN: a ratio is further than 10% from 1");
+  return holds ? kDone : kOutside;
+}
+
+int RunOne(const lab::ScaleExperiment& experiment, const ScaleOptions& o, base::Millis deadline) {
+  switch (experiment.kind) {
+    case lab::ScaleKind::kStorms: return RunStormsFile(experiment, o, deadline);
+    case lab::ScaleKind::kComparison: return RunComparison(experiment, o, deadline);
+    case lab::ScaleKind::kSweep: break;
+  }
+  return RunSweepFile(experiment, o, deadline);
+}
+
 // Whatever hangs, the process ends, and all that it started with it.
 void EndWithin(base::Millis time) { alarm(static_cast<unsigned>(std::ceil(time / 1000)) + kAfterDeadline); }
 
 int RunFiles(const ScaleOptions& o) {
+  if (o.files.empty() && !o.compare) throw std::invalid_argument("no FILE: name an experiment, or --compare");
   base::RaiseDescriptors();
   std::signal(SIGPIPE, SIG_IGN);
   // All are read, and refused where they ask for too much, before any is played.
   const lab::ScaleLimits limits = lab::LimitsOfThisMachine();
   std::vector<lab::ScaleExperiment> experiments;
+  if (o.compare) experiments.push_back(lab::StandardComparison());
   for (const std::string& file : o.files) experiments.push_back(lab::ReadScaleExperiment(file, limits));
   int code = kDone;
   for (const lab::ScaleExperiment& experiment : experiments) {
     const base::Millis begun = base::Now();
     EndWithin(experiment.ends_within);
     const base::Millis deadline = begun + experiment.ends_within;
-    code = std::max(code, RunSweepFile(experiment, o, deadline));
+    code = std::max(code, RunOne(experiment, o, deadline));
     alarm(0);
     fmt::print("{}: {:.1f} s\n", experiment.name, (base::Now() - begun) / 1000);
   }
@@ -117,7 +163,7 @@
   o->programs = {self, gateway};
   CLI::App* const scale =
       lab.add_subcommand("scale", "Measures what each role costs as the fleet grows, and fits the slopes");
-  scale->add_option("FILE", o->files, "Experiments, see experiments/scale/")->required();
+  scale->add_option("FILE", o->files, "Experiments, see experiments/scale/");
   scale->add_option("--json-dir", o->json_dir, "Folder for the results and plots")->capture_default_str();
   scale->add_option("--gateway", o->programs.gateway, "Command of the gateway")->capture_default_str();
   scale->add_option("--plays", o->plays, "Of each point; as the file says unless given")
@@ -125,6 +171,8 @@
   scale->add_option("--seed", o->seed, "Of the first play; as the file says unless given");
   scale->add_option("--revision", o->revision, "Of the program, for the results");
   scale->add_flag("--quick", o->quick, "Fewer, smaller and shorter points, one play");
+  scale->add_flag("--compare", o->compare,
+                  "First show that hollow gateways are to the list service as real ones");
   scale->add_flag("!--no-plots", o->plots, "Draw nothing");
   scale->footer(
       "Exit codes: 0 measured, 1 nothing could be measured or hollow gateways differ from real ones, 2 wrong "
--- a/src/lab/scale/fleet_measurer.cpp
+++ b/src/lab/scale/fleet_measurer.cpp
@@ -20,7 +20,6 @@
 constexpr Millis kLoneStart = 400;      // the same of a gateway that never becomes ready
 constexpr Millis kHollowReady = 60000;  // for all of them to have heard
 constexpr Millis kNewsWithin = 20000;   // for the last change to come to all
-constexpr int kKnowsNothing = 400;      // so many hollow gateways begin without a list; more are given one
 
 constexpr double kUs = 1000;  // in a ms
 
@@ -169,8 +168,7 @@
       Real()["bytes_per_whole_list"] = Service()["bytes_per_whole_list"];
     }
     if (!has_hollow()) return;
-    const bool know = size_.gateways_hollow > kKnowsNothing;
-    fleet_.StartHollowGateways(know ? json::parse(list_) : json());
+    fleet_.StartHollowGateways(0, size_.gateways_hollow, HollowStartList(size_.gateways_hollow, list_));
     Hollow()["ready_ms"] = fleet_.AwaitHollowReady(kHollowReady);
   }
 
@@ -290,6 +288,7 @@
       double memory = 0;
       for (const RealGateway& gateway : fleet_.real()) memory += ResidentMemoryOf(gateway.pid);
       Real()["memory_mb"] = memory / size_.gateways_real;
+      Real()["bytes_per_scrape"] = fleet_.ScrapeBytes(fleet_.real().front());
     }
     if (has_hollow()) {
       double memory = 0;
--- a/src/lab/scale/fleet_members.cpp
+++ b/src/lab/scale/fleet_members.cpp
@@ -112,7 +112,7 @@
 }
 
 void FleetMembers::StartChanging(double per_second) {
-  if (per_second > 0) Begin(changing_, per_second, [this] { Change(); });
+  if (per_second > 0) Begin(changing_, per_second, [this] { MakeChange(); });
 }
 
 void FleetMembers::StopChanging() {
@@ -120,7 +120,7 @@
   changing_.timer.cancel();
 }
 
-void FleetMembers::Change() {
+void FleetMembers::MakeChange() {
   registry::Command command;
   command.action = registry::Action::kSetSize;
   command.by_operator = true;
--- a/src/lab/scale/fleet_members.hpp
+++ b/src/lab/scale/fleet_members.hpp
@@ -39,6 +39,8 @@
   // Changes of size, spread evenly, each of a host drawn anew.
   void StartChanging(double per_second);
   void StopChanging();
+  // One more, at once.
+  void MakeChange();
 
   // Those that were kept since the last call of this.
   std::vector<KeptChange> TakeKept();
@@ -65,7 +67,6 @@
   void Begin(Pace& pace, double per_second, std::function<void()> send);
   void Keep(Pace& pace, std::function<void()> send);
   void Renew();
-  void Change();
 
   EventLoop& loop_;
   const tcp::endpoint list_service_;
--- a/src/lab/scale/gateway_configuration.cpp
+++ b/src/lab/scale/gateway_configuration.cpp
@@ -67,6 +67,7 @@
                   {"dialTimeoutMs", 250},
                   {"connIdleMs", kIdleMs}}},
                 {"rules", {{"askWithinMs", 10000}, {"coldFrom", 1}, {"coldMs", 0}, {"fallMultiple", 3}}}}}};
+  if (place.management) config["mgmt"] = Addresses::Text(*place.management);
   if (!place.known.is_null()) config["known"] = place.known;
   return config;
 }
--- a/src/lab/scale/gateway_configuration.hpp
+++ b/src/lab/scale/gateway_configuration.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "lab/scale/scale_experiment.hpp"
@@ -15,6 +16,7 @@
   int index = 0;  // in the fleet
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint list_service;
+  std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators; none: no such listener
   std::uint64_t seed = 0;
   nlohmann::json known;  // a list in the published form; null: none
 };
--- /dev/null
+++ b/src/lab/scale/hollow_comparison.hpp
@@ -0,0 +1,47 @@
+// Whether hollow gateways are to the list service what real ones are: the same fleet is played with the one
+// and with the other, and what the list service counted and used is set side by side. Without this no figure
+// that hollow gateways gave counts.
+#ifndef ELDERHEAD_LAB_SCALE_HOLLOW_COMPARISON_HPP_
+#define ELDERHEAD_LAB_SCALE_HOLLOW_COMPARISON_HPP_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "lab/scale/scale_experiment.hpp"
+#include "lab/scale/scale_fleet.hpp"
+
+namespace elderhead::lab {
+
+// What gateways of one kind made the list service do, over all plays.
+struct ListServiceUse {
+  double rest_calls = 0, rest_bytes_in = 0, rest_bytes_out = 0;        // from their start, no changes
+  double change_calls = 0, change_bytes_in = 0, change_bytes_out = 0;  // while changes came
+  double cpu_ms = 0;                                                   // all the time
+};
+
+struct UseRatio {
+  std::string figure;
+  double real = 0, hollow = 0;
+  bool speed = false;  // depends on the machine and its load, not on what was sent
+  double ratio() const { return real > 0 ? hollow / real : 0; }
+};
+
+struct HollowComparison {
+  int gateways = 0;
+  double within = 0.1;  // of 1, for each ratio
+  std::vector<UseRatio> ratios;
+  // `speeds`: whether CPU is judged too.
+  bool Holds(bool speeds) const;
+};
+
+// Plays `gateways_hollow` of both, in turns. Throws as ScaleMeasurer does.
+HollowComparison CompareHollowGateways(const ScalePrograms& programs, const FleetSize& size,
+                                       const ScaleWindows& windows, int plays, std::uint64_t seed,
+                                       Millis deadline);
+
+nlohmann::json ToJson(const HollowComparison& comparison);
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_HOLLOW_COMPARISON_HPP_
--- /dev/null
+++ b/src/lab/scale/request_queue.hpp
@@ -0,0 +1,28 @@
+// What waits at a listening process, by the kernel's socket tables (sock_diag): no packet is opened and the
+// process is not asked.
+#ifndef ELDERHEAD_LAB_SCALE_REQUEST_QUEUE_HPP_
+#define ELDERHEAD_LAB_SCALE_REQUEST_QUEUE_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace elderhead::lab {
+
+class RequestQueue {
+ public:
+  // Throws std::system_error where the kernel gives no such socket.
+  explicit RequestQueue(const boost::asio::ip::tcp::endpoint& listener);
+  ~RequestQueue();
+  RequestQueue(const RequestQueue&) = delete;
+
+  // Connections that were not accepted yet, and accepted ones with bytes that were not read. Throws
+  // std::system_error.
+  int Waiting();
+
+ private:
+  const boost::asio::ip::tcp::endpoint listener_;
+  int socket_ = -1;
+};
+
+}  // namespace elderhead::lab
+
+#endif  // ELDERHEAD_LAB_SCALE_REQUEST_QUEUE_HPP_
--- a/src/lab/scale/scale_experiment.cpp
+++ b/src/lab/scale/scale_experiment.cpp
@@ -50,8 +50,8 @@
   return std::ranges::find(named, word, &std::pair<std::string, Value>::first)->second;
 }
 
-FleetSize ReadFixed(TomlTable& t) {
-  FleetSize f;
+// What the table does not name stays as in `f`.
+FleetSize ReadSize(TomlTable& t, FleetSize f) {
   const auto whole = [&](const char* key, int& value, int least) {
     value = t.Whole(key, value, least, kMostOfAnything);
   };
@@ -143,7 +143,11 @@
   e.plays = t.Whole("plays", e.plays, 1, 100);
   e.seed = static_cast<std::uint64_t>(t.Whole("seed", 1, 0, kMostOfAnything));
   e.ends_within = t.Number("ends_within_s", e.ends_within / kMs, {1, 7200}) * kMs;
-  if (auto fixed = t.Table("fixed")) e.fixed = ReadFixed(*fixed);
+  if (auto fixed = t.Table("fixed")) e.fixed = ReadSize(*fixed, e.fixed);
+  e.quick_fixed = e.fixed;
+  if (e.kind != ScaleKind::kSweep) {
+    if (auto fixed = t.Table("quick_fixed")) e.quick_fixed = ReadSize(*fixed, e.fixed);
+  }
   if (auto windows = t.Table("windows")) e.windows = ReadWindows(*windows, e.windows);
   if (auto windows = t.Table("quick_windows")) e.quick_windows = ReadWindows(*windows, e.quick_windows);
   if (e.kind == ScaleKind::kStorms) {
@@ -153,6 +157,7 @@
   if (e.kind == ScaleKind::kSweep) ReadSweep(t, e);
   t.Done();
   CheckNeed(t, "fixed", "the fixed size", e.fixed, limits);
+  CheckNeed(t, "quick_fixed", "the fixed size of a quick run", e.quick_fixed, limits);
   if (e.kind == ScaleKind::kSweep) {
     CheckPoints(t, "points", e.points, e, limits);
     CheckPoints(t, "quick_points", e.quick_points, e, limits);
@@ -189,26 +194,28 @@
   return size;
 }
 
+std::map<std::string, double> FixedFigures(const FleetSize& f) {
+  return {{"hosts", f.hosts},
+          {"gateways_real", f.gateways_real},
+          {"gateways_hollow", f.gateways_hollow},
+          {"gateways_stated", f.gateways_stated},
+          {"services", f.services},
+          {"classes", f.classes},
+          {"tenants", f.tenants},
+          {"zones", f.zones},
+          {"changes_per_s", f.changes_per_s},
+          {"requests_per_s", f.requests_per_s},
+          {"lease_term_s", f.lease_term / kMs},
+          {"whole_lists_per_s", f.whole_lists_per_s}};
+}
+
 std::map<std::string, double> FixedFigures(const ScaleExperiment& experiment) {
-  const FleetSize& f = experiment.fixed;
-  std::map<std::string, double> figures{{"hosts", f.hosts},
-                                        {"gateways_real", f.gateways_real},
-                                        {"gateways_hollow", f.gateways_hollow},
-                                        {"gateways_stated", f.gateways_stated},
-                                        {"services", f.services},
-                                        {"classes", f.classes},
-                                        {"tenants", f.tenants},
-                                        {"zones", f.zones},
-                                        {"changes_per_s", f.changes_per_s},
-                                        {"requests_per_s", f.requests_per_s},
-                                        {"lease_term_s", f.lease_term / kMs},
-                                        {"whole_lists_per_s", f.whole_lists_per_s}};
-  if (experiment.kind != ScaleKind::kSweep) return figures;
-  const std::map<ScaleAxis, const char*> differently{{ScaleAxis::kGateways, "gateways_hollow"},
-                                                     {ScaleAxis::kChanges, "changes_per_s"},
-                                                     {ScaleAxis::kRequests, "requests_per_s"}};
-  const auto found = differently.find(experiment.axis);
-  figures.erase(found == differently.end() ? NameOf(experiment.axis) : found->second);
+  std::map<std::string, double> figures = FixedFigures(experiment.fixed);
+  const std::map<ScaleAxis, const char*> named_differently{{ScaleAxis::kGateways, "gateways_hollow"},
+                                                           {ScaleAxis::kChanges, "changes_per_s"},
+                                                           {ScaleAxis::kRequests, "requests_per_s"}};
+  const auto found = named_differently.find(experiment.axis);
+  figures.erase(found == named_differently.end() ? NameOf(experiment.axis) : found->second);
   return figures;
 }
 
@@ -240,6 +247,23 @@
   return need;
 }
 
+ScaleExperiment StandardComparison() {
+  ScaleExperiment e;
+  e.file = "--compare";
+  e.name = "hollow-against-real";
+  e.about = "Ten hollow gateways ask and cost the list service what ten real ones do.";
+  e.kind = ScaleKind::kComparison;
+  e.plays = 2;
+  e.ends_within = 60000;
+  e.fixed.hosts = 12;
+  e.fixed.gateways_real = e.fixed.gateways_hollow = 10;
+  e.fixed.changes_per_s = 50;
+  e.quick_fixed = e.fixed;
+  e.windows = {300, 5000, 5000};
+  e.quick_windows = {300, 3000, 3000};
+  return e;
+}
+
 ScaleExperiment ReadScaleExperiment(const std::string& path, const ScaleLimits& limits) {
   return Read(TomlTable::FromFile(path), path, limits);
 }
--- a/src/lab/scale/scale_experiment.hpp
+++ b/src/lab/scale/scale_experiment.hpp
@@ -58,8 +58,8 @@
   std::string limited_by;            // why the largest point is below it
   int plays = 3;
   std::uint64_t seed = 1;
-  Millis ends_within = 120000;  // the whole experiment
-  FleetSize fixed;
+  Millis ends_within = 120000;   // the whole experiment
+  FleetSize fixed, quick_fixed;  // the latter of kStorms and kComparison
   ScaleWindows windows, quick_windows{100, 500, 500};
   Millis outage = 30000, quick_outage = 3000;  // of kStorms: how long the list service is away
 };
@@ -70,7 +70,9 @@
 const char* UnitOf(ScaleAxis axis);
 // The fixed sizes with the swept one set to `value`.
 FleetSize SizeAt(const ScaleExperiment& experiment, double value);
-// The fixed sizes by their names in files, without the swept one.
+// The sizes by their names in files.
+std::map<std::string, double> FixedFigures(const FleetSize& size);
+// Those of a sweep, without the swept one.
 std::map<std::string, double> FixedFigures(const ScaleExperiment& experiment);
 
 // What the machine grants to one run.
@@ -93,6 +95,9 @@
 // Hollow gateways run in so many processes.
 int HollowProcesses(int gateways_hollow);
 
+// What --compare plays.
+ScaleExperiment StandardComparison();
+
 // Throws base::ConfigError, which names the field, where the file is wrong or needs more than the limits.
 ScaleExperiment ReadScaleExperiment(const std::string& path, const ScaleLimits& limits);
 ScaleExperiment ParseScaleExperiment(std::string_view text, const std::string& name,
--- a/src/lab/scale/scale_fleet.cpp
+++ b/src/lab/scale/scale_fleet.cpp
@@ -4,20 +4,26 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <fstream>
+#include <string_view>
 #include <utility>
 
 namespace elderhead::lab {
 namespace {
 
 using base::ClientConnection;
+using boost::system::error_code;
 using nlohmann::json;
 
+constexpr std::string_view kScrape = "metrics\n";
 constexpr Millis kStartWithin = 15000;
 constexpr Millis kAnswerWithin = 20000;
 constexpr Millis kAskAgain = 20;   // the list service, and hollow processes
 constexpr Millis kAskReady = 5;    // a real gateway whether it takes clients
+constexpr int kKnowNothing = 400;  // hollow gateways
 constexpr int kHollowBlock = 200;  // last numbers of addresses, in the run's block
 constexpr std::uint16_t kControlPort = 3900;
 constexpr std::uint16_t kNobodyPort = 9;
@@ -36,6 +42,27 @@
 
 }  // namespace
 
+ListServiceCounts ParseListServiceCounts(const std::string& metrics) {
+  const auto counter = [&](const char* name) { return CounterOf(metrics, name); };
+  ListServiceCounts c;
+  c.calls = counter("calls_total");
+  c.list_calls = counter("list_calls_total");
+  c.whole_lists = counter("whole_lists_total");
+  c.writes = counter("writes_total");
+  c.turned_away = counter("turned_away_total");
+  c.bytes_in = counter("bytes_received_total");
+  c.bytes_out = counter("bytes_sent_total");
+  c.list_bytes_in = counter("list_bytes_received_total");
+  c.list_bytes_out = counter("list_bytes_sent_total");
+  c.watches = counter("watches");
+  c.revision = counter("revision");
+  return c;
+}
+
+json HollowStartList(int gateways, const std::string& list) {
+  return gateways > kKnowNothing ? json::parse(list) : json();
+}
+
 ScaleFleet::ScaleFleet(ScalePrograms programs, FleetSize size, std::uint64_t seed, Millis deadline)
     : programs_(std::move(programs)),
       size_(size),
@@ -114,21 +141,7 @@
 }
 
 ListServiceCounts ScaleFleet::Counts() {
-  const std::string text = Get(addresses_.Registry(), "/metrics").value_or("");
-  const auto counter = [&](const char* name) { return CounterOf(text, name); };
-  ListServiceCounts c;
-  c.calls = counter("calls_total");
-  c.list_calls = counter("list_calls_total");
-  c.whole_lists = counter("whole_lists_total");
-  c.writes = counter("writes_total");
-  c.turned_away = counter("turned_away_total");
-  c.bytes_in = counter("bytes_received_total");
-  c.bytes_out = counter("bytes_sent_total");
-  c.list_bytes_in = counter("list_bytes_received_total");
-  c.list_bytes_out = counter("list_bytes_sent_total");
-  c.watches = counter("watches");
-  c.revision = counter("revision");
-  return c;
+  return ParseListServiceCounts(Get(addresses_.Registry(), "/metrics").value_or(""));
 }
 
 std::string ScaleFleet::WholeList() {
@@ -182,6 +195,8 @@
     place.seed = seed_ * kSeedsPerRun + static_cast<std::uint64_t>(g);
     RealGateway& gateway = real_.emplace_back();
     gateway.address = place.listen;
+    gateway.management = addresses_.Management(g, 0);
+    place.management = gateway.management;
     gateway.started_at = base::Now();
     gateway.pid = StartGateway(fmt::format("gateway-{}", g), place);
     addresses.push_back(place.listen);
@@ -201,20 +216,36 @@
   requests_ = std::make_unique<RequestLoad>(loop_, held_, std::move(addresses), size_, seed_);
 }
 
-void ScaleFleet::StartHollowGateways(const json& known) {
-  const int processes = HollowProcesses(size_.gateways_hollow);
-  int begun = 0;
-  for (int p = 0; p < processes; ++p) {
+double ScaleFleet::ScrapeBytes(const RealGateway& gateway) {
+  tcp::socket socket(loop_.io());
+  std::string text;
+  bool done = false;
+  socket.async_connect(gateway.management, [&](error_code connect_ec) {
+    if (connect_ec) return void(done = true);
+    boost::asio::async_write(socket, boost::asio::buffer(kScrape), [&](error_code write_ec, std::size_t) {
+      if (write_ec) return void(done = true);
+      boost::asio::async_read(socket, boost::asio::dynamic_buffer(text),
+                              [&](error_code, std::size_t) { done = true; });
+    });
+  });
+  loop_.RunUntil("the gateway's answer to its operators", kAnswerWithin, [&] { return done; });
+  return static_cast<double>(text.size());
+}
+
+void ScaleFleet::StartHollowGateways(int first, int count, const json& known) {
+  const int processes = HollowProcesses(count);
+  for (int p = 0, begun = 0; p < processes; ++p) {
+    const int number = static_cast<int>(hollow_.size());
     HollowGroup& group = hollow_.emplace_back();
-    group.gateways = (size_.gateways_hollow - begun) / (processes - p);
-    group.control = Place(kHollowBlock + p, kControlPort);
+    group.gateways = (count - begun) / (processes - p);
+    group.control = Place(kHollowBlock + number, kControlPort);
     GatewayPlace place;
-    place.index = size_.gateways_real + begun;
+    place.index = size_.gateways_real + first + begun;
     place.listen = group.control;
     place.list_service = addresses_.Registry();
     place.seed = seed_ * kSeedsPerRun + static_cast<std::uint64_t>(place.index);
     place.known = known;
-    const std::string name = fmt::format("hollow-{}", p);
+    const std::string name = fmt::format("hollow-{}", number);
     const std::filesystem::path config = At(name + ".json");
     Write(config, GatewayConfiguration(size_, place).dump());
     ProcessSpec spec;
@@ -235,18 +266,22 @@
   return form.is_object() ? HollowStateFromJson(form) : HollowState{};
 }
 
-Millis ScaleFleet::AwaitHollowReady(Millis patience) {
+Millis ScaleFleet::AwaitHollowReady(Millis patience, std::size_t from) {
   const Millis until = base::Now() + patience;
   Millis last = 0;
-  for (const HollowGroup& group : hollow_) {
+  for (std::size_t i = from; i < hollow_.size(); ++i) {
     HollowState state;
-    while ((state = StateOf(group)).all_ready_at <= 0) {
-      if (base::Now() > until) throw ScaleTimeout("the start of all hollow gateways did not happen in time");
+    while ((state = StateOf(hollow_[i])).all_ready_at <= 0) {
+      if (base::Now() > until) {
+        throw ScaleTimeout(
+            fmt::format("the start of all hollow gateways did not happen in time: {} of {} are ready",
+                        state.ready, state.gateways));
+      }
       loop_.RunFor(kAskAgain);
     }
     last = std::max(last, state.all_ready_at);
   }
-  return hollow_.empty() ? 0 : last - hollow_.front().started_at;
+  return from < hollow_.size() ? last - hollow_[from].started_at : 0;
 }
 
 void ScaleFleet::AwaitHollowRevision(std::int64_t revision, Millis patience) {
--- a/src/lab/scale/scale_fleet.hpp
+++ b/src/lab/scale/scale_fleet.hpp
@@ -45,9 +45,12 @@
   double watches = 0, revision = 0;
 };
 
+// Of its answer to /metrics; 0 where a counter is missing.
+ListServiceCounts ParseListServiceCounts(const std::string& metrics);
+
 struct RealGateway {
   pid_t pid = 0;
-  tcp::endpoint address;
+  tcp::endpoint address, management;
   Millis started_at = 0, ready_at = 0;  // base::Now
 };
 
@@ -58,6 +61,11 @@
   Millis started_at = 0;
 };
 
+// What hollow gateways of a run begin with: a few with nothing, so that they ask for the whole list; more
+// with the list, as gateways do that start again, since the list service admits only so many whole lists a
+// second.
+nlohmann::json HollowStartList(int gateways, const std::string& list);
+
 class ScaleFleet {
  public:
   // No wait goes beyond `deadline` (base::Now).
@@ -70,6 +78,7 @@
   // Returns the time until it answered, in ms.
   Millis StartListService();
   void KillListService();
+  tcp::endpoint list_service_address() const { return addresses_.Registry(); }
   pid_t list_service() const { return list_service_pid_; }
   ListServiceCounts Counts();
   // The published list as it is now.
@@ -83,11 +92,15 @@
   void StartRealGateways();
   const std::vector<RealGateway>& real() const { return real_; }
   RequestLoad& requests() { return *requests_; }
-
-  // `known`: their list at the start; null: none. The indices follow those of the real ones.
-  void StartHollowGateways(const nlohmann::json& known);
-  // Until all have heard from the list service. Returns the time from the first one's start, in ms.
-  Millis AwaitHollowReady(Millis patience);
+  // What a gateway tells at its operators' call 'metrics', in bytes.
+  double ScrapeBytes(const RealGateway& gateway);
+
+  // Gateways `first` to first + count - 1 of the hollow ones, in processes of their own. `known`: their list
+  // at the start; null: none. Their indices in the fleet follow those of the real ones.
+  void StartHollowGateways(int first, int count, const nlohmann::json& known);
+  // Until all of the processes from number `from` on have heard from the list service. Returns the time from
+  // the first one's start, in ms.
+  Millis AwaitHollowReady(Millis patience, std::size_t from = 0);
   // Until none has an older revision.
   void AwaitHollowRevision(std::int64_t revision, Millis patience);
   const std::vector<HollowGroup>& hollow() const { return hollow_; }
