--- a/src/lab/scale/fleet_measurer.cpp
+++ b/src/lab/scale/fleet_measurer.cpp
@@ -16,6 +16,7 @@
 using nlohmann::json;
 
 constexpr int kWholeLists = 8;          // asked for in a row, for the cost of one
+constexpr Millis kWatchCall = 2500;     // a call of a watch that is at rest lasts at most so long
 constexpr Millis kAfterReady = 50;      // what a start costs is read so long after it
 constexpr Millis kLoneStart = 400;      // the same of a gateway that never becomes ready
 constexpr Millis kHollowReady = 60000;  // for all of them to have heard
@@ -150,6 +151,7 @@
     const pid_t empty = fleet_.StartLoneGateway(nullptr);
     lone_ = fleet_.StartLoneGateway(json::parse(list_));
     fleet_.loop().RunFor(kLoneStart);
+    fleet_.CheckAlive();
     start_cost_ = CpuTimeOf(empty);
     fleet_.End(empty);
   }
@@ -178,18 +180,23 @@
     const auto [from, to] = Watch(windows_.rest);
     const Window window{from, to};
     rest_service_ = Service()["cpu_rest_percent"] = window.Percent(&Snapshot::list_service);
-    Service()["bytes_in_per_s"] = window.Rate(&ListServiceCounts::bytes_in);
-    Service()["bytes_out_per_s"] = window.Rate(&ListServiceCounts::bytes_out);
-    Service()["messages_in_per_s"] = Service()["messages_out_per_s"] = window.Rate(&ListServiceCounts::calls);
+    // In a shorter window it is chance whether any call of a watch ends.
+    const bool traffic = windows_.rest >= kWatchCall;
+    if (traffic) {
+      Service()["bytes_in_per_s"] = window.Rate(&ListServiceCounts::bytes_in);
+      Service()["bytes_out_per_s"] = window.Rate(&ListServiceCounts::bytes_out);
+      Service()["messages_in_per_s"] = Service()["messages_out_per_s"] =
+          window.Rate(&ListServiceCounts::calls);
+    }
     rest_list_bytes_ = window.Rate(&ListServiceCounts::list_bytes_out);
     if (has_real()) {
       rest_real_ = Real()["cpu_rest_percent"] = window.Percent(&Snapshot::real) / size_.gateways_real;
       Real()["cpu_idle_percent"] = window.Percent(&Snapshot::lone);
-      NoteTraffic(Real(), window);
+      if (traffic) NoteTraffic(Real(), window);
     }
     if (has_hollow()) {
       rest_hollow_ = Hollow()["cpu_rest_percent"] = window.HollowPercent() / size_.gateways_hollow;
-      NoteTraffic(Hollow(), window);
+      if (traffic) NoteTraffic(Hollow(), window);
     }
   }
 
--- a/src/lab/scale/scale_fleet.hpp
+++ b/src/lab/scale/scale_fleet.hpp
@@ -88,6 +88,8 @@
   // A gateway outside the fleet whose list service never answers; it has `known` (null: none) as its list.
   pid_t StartLoneGateway(const nlohmann::json& known);
   void End(pid_t pid);
+  // Throws PointRefused where a process has ended by itself.
+  void CheckAlive() const;
   // Returns when all take clients.
   void StartRealGateways();
   const std::vector<RealGateway>& real() const { return real_; }
@@ -115,7 +117,6 @@
   // The body of an answer 200; nothing for any other, or for none.
   std::optional<std::string> Get(const tcp::endpoint& from, const std::string& target);
   HollowState StateOf(const HollowGroup& group);
-  void CheckAlive() const;
   tcp::endpoint Place(int last, std::uint16_t port) const;
 
   const ScalePrograms programs_;
