--- a/src/registry/service.cpp
+++ b/src/registry/service.cpp
@@ -111,6 +111,11 @@
   session->Answer(std::move(response));
 }
 
+void Service::OnBytes(std::size_t in, std::size_t out) {
+  counts_.all.bytes_in += in;
+  counts_.all.bytes_out += out;
+}
+
 void Service::OnClosed(const SessionPtr& session, CloseReason reason) {
   if (reason == CloseReason::kSlowReader) ++counts_.cut_off;
   admission_.Leave(*session);
@@ -121,10 +126,11 @@
 // ---- Requests -----------------------------------------------------------------------------------
 
 void Service::OnRequest(const SessionPtr& session) {
-  ++counts_.calls;
+  ++counts_.all.requests;
   const auto& request = session->request();
   const std::string_view target(request.target().data(), request.target().size());
   const std::string_view path = target.substr(0, target.find('?'));
+  if (path == kListPath) session->CountIn(counts_.list);
   const bool caller = path == kListPath || path == kRenewPath;  // all others are operators
   if (caller && !admission_.AdmitCaller(*session)) {
     return TurnAway(session, "all places for callers are taken", /*keep_alive=*/false);
--- a/src/registry/service.hpp
+++ b/src/registry/service.hpp
@@ -41,6 +41,7 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   // SessionHandler
+  void OnBytes(std::size_t in, std::size_t out) override;
   void OnRequest(const SessionPtr& session) override;
   void OnClosed(const SessionPtr& session, CloseReason reason) override;
   // CatalogObserver
--- a/src/registry/service_report.cpp
+++ b/src/registry/service_report.cpp
@@ -68,11 +68,17 @@
 }
 
 void WriteCounts(const ServiceView& view, MetricsWriter& metrics) {
-  metrics.Counter("calls_total", "Requests", view.counts.calls);
+  metrics.Counter("calls_total", "Requests", view.counts.all.requests);
   metrics.Counter("renewals_total", "Renewals", view.counts.renewals);
   metrics.Counter("writes_total", "Commands kept", view.store.writes());
   metrics.Counter("syncs_total", "Syncs of the log", view.store.syncs());
   metrics.Counter("whole_lists_total", "Whole lists told", view.counts.whole_lists);
+  metrics.Counter("list_calls_total", "Requests for the list, watches among them", view.counts.list.requests);
+  metrics.Counter("bytes_received_total", "Bytes of requests", view.counts.all.bytes_in);
+  metrics.Counter("bytes_sent_total", "Bytes of answers begun", view.counts.all.bytes_out);
+  metrics.Counter("list_bytes_received_total", "The same, of requests for the list",
+                  view.counts.list.bytes_in);
+  metrics.Counter("list_bytes_sent_total", "The same, of answers to them", view.counts.list.bytes_out);
   metrics.Counter("encoded_total", "Bodies encoded", view.counts.encoded);
   metrics.Counter("turned_away_total", "Callers told to come back", view.counts.turned_away);
   metrics.Counter("cut_off_total", "Readers that were too slow", view.counts.cut_off);
--- a/src/registry/service_report.hpp
+++ b/src/registry/service_report.hpp
@@ -8,12 +8,14 @@
 
 #include "registry/durable_catalog.hpp"
 #include "registry/leases.hpp"
+#include "registry/session.hpp"
 
 namespace elderhead::registry {
 
 // Totals since the service's start.
 struct ServiceCounts {
-  std::uint64_t calls = 0;
+  Traffic all;
+  Traffic list;  // requests for the list, watches among them
   std::uint64_t renewals = 0;
   std::uint64_t whole_lists = 0;
   std::uint64_t encoded = 0;
--- a/src/registry/session.cpp
+++ b/src/registry/session.cpp
@@ -34,13 +34,16 @@
   parser_->body_limit(kMostBodyBytes);
   parser_->header_limit(kMostHeaderBytes);
   CloseAfter(time, CloseReason::kOrdinary);
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code error, std::size_t) { self->OnRead(error); });
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t bytes) { self->OnRead(error, bytes); });
 }
 
-void Session::OnRead(error_code error) {
+void Session::OnRead(error_code error, std::size_t bytes) {
   if (!open_) return;
   timer_.cancel();
+  request_bytes_ = bytes;
+  handler_.OnBytes(bytes, 0);
   if (error == http::error::end_of_stream || (error && !parser_->got_some())) return Close();
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return RejectRequest("the request is too long");
@@ -56,11 +59,20 @@
   Answer(std::move(response));
 }
 
+void Session::CountIn(Traffic& total) {
+  ++total.requests;
+  total.bytes_in += request_bytes_;
+  also_counted_in_ = &total;
+}
+
 void Session::Answer(Response response) {
   if (!open_) return;
   keep_alive_ = keep_alive_ && response.keep_alive;
   response_head_ = ResponseHead(response, keep_alive_);
   response_body_ = std::move(response.body);
+  const std::size_t bytes = response_head_.size() + response_body_->size();
+  handler_.OnBytes(0, bytes);
+  if (also_counted_in_ != nullptr) std::exchange(also_counted_in_, nullptr)->bytes_out += bytes;
   CloseAfter(kWriteTimeout, CloseReason::kSlowReader);
   const std::array<asio::const_buffer, 2> parts{asio::buffer(response_head_), asio::buffer(*response_body_)};
   asio::async_write(socket_, parts,
--- a/src/registry/session.hpp
+++ b/src/registry/session.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,12 +21,21 @@
 
 class Session;
 
+// Totals of requests and their bytes, heads included.
+struct Traffic {
+  std::uint64_t requests = 0;
+  std::uint64_t bytes_in = 0;
+  std::uint64_t bytes_out = 0;  // of answers begun
+};
+
 // The owner of sessions. Called in the thread of their io_context.
 class SessionHandler {
  public:
   enum class CloseReason { kOrdinary, kSlowReader };
 
   virtual ~SessionHandler() = default;
+  // Bytes were read of a request, or the writing of so many bytes of an answer has begun.
+  virtual void OnBytes(std::size_t in, std::size_t out) = 0;
   // A whole request was read. Expects exactly one Answer(), at once or later.
   virtual void OnRequest(const std::shared_ptr<Session>& session) = 0;
   // Called once, when the session has closed its socket.
@@ -43,6 +53,8 @@
   const boost::beast::http::request<boost::beast::http::string_body>& request() const {
     return parser_->get();
   }
+  // Counts the request that was read, and the answer to it, in another total too.
+  void CountIn(Traffic& total);
   // Sends the response, then reads the next request. No effect on a closed session.
   void Answer(Response response);
   // Calls `expired` unless the session is answered or closed before.
@@ -52,7 +64,7 @@
  private:
   using CloseReason = SessionHandler::CloseReason;
   void ReadWithin(base::Millis time);
-  void OnRead(boost::system::error_code error);
+  void OnRead(boost::system::error_code error, std::size_t bytes);
   void RejectRequest(const std::string& message);
   void OnWritten(boost::system::error_code error);
   void CloseAfter(base::Millis time, CloseReason reason);
@@ -65,6 +77,8 @@
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
   std::string response_head_;
   Body response_body_;
+  std::size_t request_bytes_ = 0;
+  Traffic* also_counted_in_ = nullptr;  // until the request is answered
   bool open_ = true;
   bool keep_alive_ = true;
 };
