Read times given in seconds in one place

Need: 'a number in seconds, its default and result in ms' was written out sixteen times over three readers of files, with its own constant in each.

Change: TomlTable::Seconds; the experiments', the agent's and the registry service's readers use it. Same values, ranges and messages.

--- a/src/base/toml_reader.cpp
+++ b/src/base/toml_reader.cpp
@@ -12,6 +12,8 @@
 namespace elderhead::base {
 namespace {
 
+constexpr Millis kMillisPerSecond = 1000;
+
 std::string At(const std::string& file, const toml::source_region& region, std::string_view what) {
   return fmt::format("{}:{}:{}: {}", region.path ? *region.path : file, region.begin.line,
                      region.begin.column, what);
@@ -100,6 +102,10 @@
   return *value;
 }
 
+Millis TomlTable::Seconds(const std::string& key, Millis otherwise, Range seconds) {
+  return kMillisPerSecond * Number(key, otherwise / kMillisPerSecond, seconds);
+}
+
 int TomlTable::Whole(const std::string& key, int otherwise, int least, int most) {
   const double value = Number(key, otherwise, {static_cast<double>(least), static_cast<double>(most)});
   if (value != std::floor(value)) Fail(key, "must be a whole number");
--- a/src/base/toml_reader.hpp
+++ b/src/base/toml_reader.hpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/base.hpp"
+
 namespace elderhead::base {
 
 // "FILE:LINE:COLUMN: what is wrong", one line.
@@ -40,6 +42,8 @@
   bool Has(const std::string& key);
   double Number(const std::string& key, Range range = {});  // throws where the key is missing
   double Number(const std::string& key, double otherwise, Range range = {});
+  // A time that the file gives in seconds, with the range in seconds too; `otherwise` is in ms.
+  Millis Seconds(const std::string& key, Millis otherwise, Range seconds = {});
   int Whole(const std::string& key, int otherwise, int least, int most);
   bool Flag(const std::string& key, bool otherwise);
   std::string Text(const std::string& key);
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -111,7 +111,7 @@
   f.kind =
       std::find_if(kFaults.begin(), kFaults.end(), [&](const auto& k) { return k.first == what; })->second;
   f.at = t.Number("at_s", {0, e.traffic.seconds / kMs}) * kMs;
-  f.lasts = t.Number("for_s", 0, kNotNegative) * kMs;
+  f.lasts = t.Seconds("for_s", 0, kNotNegative);
   f.text = what;
   switch (f.kind) {
     case FaultKind::kCut:
@@ -206,7 +206,7 @@
     t.Fail("name", "must be of the letters a-z, 0-9, '-', '_' and '.'");
   }
   e.about = t.Text("about", "");
-  e.ends_within = t.Number("ends_within_s", e.ends_within / kMs, {1, 7200}) * kMs;
+  e.ends_within = t.Seconds("ends_within_s", e.ends_within, {1, 7200});
   e.most_late = t.Number("most_late_ms", e.most_late, kAboveZero);
   if (auto f = t.Table("fleet")) {
     e.fleet.gateways = f->Whole("gateways", e.fleet.gateways, 1, kMostGateways);
@@ -223,13 +223,13 @@
     e.fleet.slow_sync = f->Number("slow_sync_ms", e.fleet.slow_sync, {0, 60000});
     e.fleet.state = f->Flag("state", e.fleet.state);
     e.fleet.registry = f->Flag("registry", e.fleet.registry);
-    e.fleet.lease_term = f->Number("lease_term_s", e.fleet.lease_term / kMs, {0.5, 3600}) * kMs;
-    e.fleet.lease_grace = f->Number("lease_grace_s", e.fleet.lease_grace / kMs, kNotNegative) * kMs;
+    e.fleet.lease_term = f->Seconds("lease_term_s", e.fleet.lease_term, {0.5, 3600});
+    e.fleet.lease_grace = f->Seconds("lease_grace_s", e.fleet.lease_grace, kNotNegative);
     e.fleet.peers = f->Flag("peers", e.fleet.peers);
     if (e.fleet.peers && e.fleet.gateways > kMostPeers) {
       f->Fail("peers", fmt::format("takes a socket for each pair: {} gateways at most", kMostPeers));
     }
-    e.fleet.ready_within = f->Number("ready_within_s", e.fleet.ready_within / kMs, {0.1, 600}) * kMs;
+    e.fleet.ready_within = f->Seconds("ready_within_s", e.fleet.ready_within, {0.1, 600});
     f->Done();
   }
   for (TomlTable& host : t.Tables("hosts")) e.hosts.push_back(ReadHost(host, e.fleet.zones));
@@ -237,9 +237,9 @@
   if (e.HostCount() > kMostHosts) t.Fail("hosts", fmt::format("more than {} in all", kMostHosts));
   if (auto c = t.Table("cold_start")) {
     e.cold.from = c->Number("from", e.cold.from, {0.01, 1});
-    e.cold.warm_after = c->Number("warm_after_s", e.cold.warm_after / kMs, kNotNegative) * kMs;
+    e.cold.warm_after = c->Seconds("warm_after_s", e.cold.warm_after, kNotNegative);
     e.cold.fall_multiple = c->Number("fall_multiple", e.cold.fall_multiple, kAboveZero);
-    e.cold.fall_window = c->Number("fall_window_s", e.cold.fall_window / kMs, kAboveZero) * kMs;
+    e.cold.fall_window = c->Seconds("fall_window_s", e.cold.fall_window, kAboveZero);
     c->Done();
   }
   for (TomlTable& c : t.Tables("classes")) e.classes.push_back(ReadClass(c));
@@ -251,7 +251,7 @@
   f.rate = traffic->Has("load") ? traffic->Number("load", kAboveZero) * e.Capacity()
                                 : traffic->Number("rate", kAboveZero);
   f.seconds = traffic->Number("seconds", {0.1, 7200}) * kMs;
-  f.warm_up = traffic->Number("warm_up_s", f.warm_up / kMs, {0, f.seconds / kMs}) * kMs;
+  f.warm_up = traffic->Seconds("warm_up_s", f.warm_up, {0, f.seconds / kMs});
   f.bursty = traffic->Word("arrivals", "poisson", {"poisson", "bursty"}) == "bursty";
   f.burst_factor = traffic->Number("burst_factor", f.burst_factor, {1, 100});
   f.burst_length = traffic->Number("burst_ms", f.burst_length, kAboveZero);
--- a/src/registry/agent.cpp
+++ b/src/registry/agent.cpp
@@ -21,6 +21,7 @@
 using nlohmann::json;
 using tcp = boost::asio::ip::tcp;
 
+constexpr Millis kDefaultTerm = 10000;
 constexpr Millis kPatience = 2000;
 constexpr Millis kFirstWait = 200;  // after a failed call; doubles up to a third of the term
 
@@ -48,7 +49,7 @@
   AgentOptions o;
   for (const std::string& text : t.Texts("services")) o.services.push_back(ReadEndpoint(t, "services", text));
   if (o.services.empty()) t.Fail("services", "needs at least one");
-  o.grace = 1000 * t.Number("grace_s", o.grace / 1000, base::kNotNegative);
+  o.grace = t.Seconds("grace_s", o.grace, base::kNotNegative);
   auto m = t.Table("member");
   if (!m) t.Fail("member", "is missing");
   o.member.id = m->Text("id");
@@ -59,12 +60,12 @@
   o.member.version = m->Text("version", "");
   if (m->Has("cell")) o.member.cell = json(m->Text("cell")).dump();
   o.member.size = m->Number("size", 1, {1e-6, 1e6});
-  o.member.term = 1000 * m->Number("term_s", 10, {0.5, 3600});
+  o.member.term = m->Seconds("term_s", kDefaultTerm, {0.5, 3600});
   m->Done();
   if (auto c = t.Table("check")) {
     o.check = c->Text("path", "");
-    o.check_every = 1000 * c->Number("every_s", o.check_every / 1000, {0.05, 3600});
-    o.check_patience = 1000 * c->Number("within_s", o.check_patience / 1000, {0.01, 3600});
+    o.check_every = c->Seconds("every_s", o.check_every, {0.05, 3600});
+    o.check_patience = c->Seconds("within_s", o.check_patience, {0.01, 3600});
     o.check_failures = c->Whole("failures", o.check_failures, 1, 1000);
     c->Done();
   }
--- a/src/registry/service_options.cpp
+++ b/src/registry/service_options.cpp
@@ -6,24 +6,19 @@
 namespace elderhead::registry {
 namespace {
 
-constexpr base::Millis kMillisPerSecond = 1000;
 constexpr base::Range kTermSeconds{0.5, 3600};
 
-double ReadSeconds(base::TomlTable& table, const char* key, base::Millis otherwise, base::Range range) {
-  return kMillisPerSecond * table.Number(key, otherwise / kMillisPerSecond, range);
-}
-
 std::size_t ReadCount(base::TomlTable& table, const char* key, std::size_t otherwise, int least, int most) {
   return static_cast<std::size_t>(table.Whole(key, static_cast<int>(otherwise), least, most));
 }
 
 void ReadLeases(base::TomlTable table, LeaseOptions& leases) {
-  leases.term = ReadSeconds(table, "term_s", leases.term, kTermSeconds);
-  leases.grace = ReadSeconds(table, "grace_s", leases.grace, base::kNotNegative);
+  leases.term = table.Seconds("term_s", leases.term, kTermSeconds);
+  leases.grace = table.Seconds("grace_s", leases.grace, base::kNotNegative);
   leases.most_lapsed = table.Number("most_lapsed", leases.most_lapsed, base::kShare);
   leases.least_lapsed = table.Whole("least_lapsed", leases.least_lapsed, 0, 1000000);
-  leases.window = ReadSeconds(table, "window_s", leases.window, base::kNotNegative);
-  leases.longest_hold = ReadSeconds(table, "longest_hold_s", leases.longest_hold, base::kAboveZero);
+  leases.window = table.Seconds("window_s", leases.window, base::kNotNegative);
+  leases.longest_hold = table.Seconds("longest_hold_s", leases.longest_hold, base::kAboveZero);
   table.Done();
 }
 
