Silent servers of a zone are counted by id, not by where they were in memory

Need: the same settings, seed and events are to give the same actions. Zone::silent held pointers to servers; one that left the list and came back could be counted twice, or not, by what the allocator gave it. No test of its own: a test would have to know the allocator, and one that moved the servers about in memory passed without the change too.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -377,7 +377,7 @@
     const bool broken = outcome.result == Result::kReset && b.last_served > now_ - kLostAfter;
     if (served) b.last_served = now_, b.zone->answered = now_, b.zone->silent.clear();
     const bool mute = outcome.result == Result::kTimedOut || outcome.result == Result::kConnectFailed;
-    if (mute && now_ - outcome.latency > b.zone->answered) b.zone->silent.insert(&b);
+    if (mute && now_ - outcome.latency > b.zone->answered) b.zone->silent.insert(b.info.id);
     if (served && Warmth(b) >= 1) b.kind->warm_served += 1;
     if (!heavy) b.failing += (broken ? kBrokenWeight : kErrWeight) * ((served ? 0.0 : 1.0) - b.failing);
     if (served && b.suspect) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -36,8 +36,8 @@
 
 struct Backend;
 struct Zone {
-  Millis answered = kNever;         // last, by any of its servers
-  std::set<const Backend*> silent;  // those that timed out or could not be reached since
+  Millis answered = kNever;      // last, by any of its servers
+  std::set<std::string> silent;  // ids of those that timed out or could not be reached since
 };
 
 struct Backend : Learned::Figures {
