--- a/src/lab/scale/fleet_measurer.cpp
+++ b/src/lab/scale/fleet_measurer.cpp
@@ -228,6 +228,7 @@
     fleet_.requests().Start();
     fleet_.loop().RunFor(windows_.settle);
     fleet_.requests().TakeAdded();
+    fleet_.requests().TakeLateness();
     const auto [from, to] = Watch(windows_.window);
     const Window window{from, to};
     const base::Histogram added = fleet_.requests().TakeAdded();
@@ -240,6 +241,8 @@
     Real()["added_ms_p50"] = static_cast<double>(added.Quantile(0.5)) / kUs;
     Real()["added_ms_p99"] = static_cast<double>(added.Quantile(0.99)) / kUs;
     Real()["served_percent"] = served > 0 ? 100 * served / (served + failed) : 0;
+    roles_["load"]["lateness_ms_p99"] =
+        static_cast<double>(fleet_.requests().TakeLateness().Quantile(0.99)) / kUs;
     fleet_.requests().Stop();
   }
 
--- a/src/lab/scale/request_load.cpp
+++ b/src/lab/scale/request_load.cpp
@@ -98,6 +98,7 @@
   std::exponential_distribution<double> gap(size_.requests_per_s * static_cast<double>(targets_.size()) /
                                             1000);
   for (const Millis now = base::Now(); next_ <= now; next_ += gap(random_)) {
+    lateness_.Add(static_cast<std::uint64_t>(1000 * (now - next_)));
     SendTo(targets_[next_target_++ % targets_.size()]);
   }
   timer_.expires_after(base::Span(next_ - base::Now()));
@@ -139,6 +140,8 @@
       });
 }
 
+base::Histogram RequestLoad::TakeLateness() { return std::exchange(lateness_, {}); }
+
 base::Histogram RequestLoad::TakeAdded() { return std::exchange(added_, {}); }
 
 }  // namespace elderhead::lab
--- a/src/lab/scale/request_load.hpp
+++ b/src/lab/scale/request_load.hpp
@@ -62,6 +62,8 @@
   void Stop();
   // Of the requests answered since the last call of this: their time beyond that at the host, in us.
   base::Histogram TakeAdded();
+  // Of the requests sent since the last call of this: how far behind their schedule they were, in us.
+  base::Histogram TakeLateness();
   const RequestCounts& counts() const { return counts_; }
 
  private:
@@ -83,7 +85,7 @@
   Millis next_ = 0;
   std::uint64_t next_id_ = 0;
   bool on_ = false;
-  base::Histogram added_;
+  base::Histogram added_, lateness_;
   RequestCounts counts_;
 };
 
--- a/src/lab/scale/scale_experiment.cpp
+++ b/src/lab/scale/scale_experiment.cpp
@@ -23,9 +23,12 @@
 constexpr double kLeastSpan = 100;  // two decades
 
 // For the estimate of memory, in MB; each is above what was measured (docs/design/scale.md).
-constexpr double kToolMb = 60, kToolPerHost = 0.002;
+constexpr double kToolMb = 60, kToolPerHost = 0.004;
 constexpr double kServiceMb = 40, kServicePerHost = 0.006, kServicePerCaller = 0.1;
 constexpr double kGatewayMb = 12, kGatewayPerHost = 0.004;
+constexpr double kGatewayPerTenant = 0.001, kHollowPerTenant = 0.0005;
+constexpr double kGatewayPerClass = 0.05, kHollowPerClass = 0.01;
+constexpr int kMostClasses = 64;  // more are refused at the gateway's start
 constexpr double kHollowProcessMb = 15, kHollowMb = 0.06, kHollowPerHost = 0.0015;
 constexpr int kSpareDescriptors = 600;  // of any process, connections of members and clients among them
 constexpr int kOwnProcesses = 4;        // this one, the list service, and two gateways for the costs at rest
@@ -236,12 +239,15 @@
 
 ScaleNeed NeedOf(const FleetSize& s) {
   const double gateways = s.gateways_real + 2;  // two more for the costs at rest
+  const int classes = std::min(s.classes, kMostClasses);
+  const double gateway =
+      kGatewayMb + kGatewayPerHost * s.hosts + kGatewayPerTenant * s.tenants + kGatewayPerClass * classes;
+  const double hollow =
+      kHollowMb + kHollowPerHost * s.hosts + kHollowPerTenant * s.tenants + kHollowPerClass * classes;
   ScaleNeed need;
   need.memory_mb = kToolMb + kToolPerHost * s.hosts + kServiceMb + kServicePerHost * s.hosts +
-                   kServicePerCaller * (s.gateways_hollow + s.gateways_real) +
-                   gateways * (kGatewayMb + kGatewayPerHost * s.hosts) +
-                   kHollowProcessMb * HollowProcesses(s.gateways_hollow) +
-                   s.gateways_hollow * (kHollowMb + kHollowPerHost * s.hosts);
+                   kServicePerCaller * (s.gateways_hollow + s.gateways_real) + gateways * gateway +
+                   kHollowProcessMb * HollowProcesses(s.gateways_hollow) + s.gateways_hollow * hollow;
   need.processes = kOwnProcesses + s.gateways_real + HollowProcesses(s.gateways_hollow);
   need.descriptors = kSpareDescriptors + s.gateways_real + s.gateways_hollow;
   return need;
