--- a/src/lab/scale/hollow_comparison.hpp
+++ b/src/lab/scale/hollow_comparison.hpp
@@ -17,7 +17,8 @@
 struct ListServiceUse {
   double rest_calls = 0, rest_bytes_in = 0, rest_bytes_out = 0;        // from their start, no changes
   double change_calls = 0, change_bytes_in = 0, change_bytes_out = 0;  // while changes came
-  double cpu_ms = 0;                                                   // all the time
+  // Of the play that took least: what else runs on the machine only adds.
+  double least_cpu_ms = 0;  // all the time
 };
 
 struct UseRatio {
