--- a/src/lab/scale/hollow_comparison.cpp
+++ b/src/lab/scale/hollow_comparison.cpp
@@ -1,5 +1,6 @@
 #include "lab/scale/hollow_comparison.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -41,7 +42,8 @@
   use.change_calls += end.counts.list_calls - rested.counts.list_calls;
   use.change_bytes_in += end.counts.list_bytes_in - rested.counts.list_bytes_in;
   use.change_bytes_out += end.counts.list_bytes_out - rested.counts.list_bytes_out;
-  use.cpu_ms += end.cpu - begin.cpu;
+  const Millis cpu = end.cpu - begin.cpu;
+  use.least_cpu_ms = use.least_cpu_ms > 0 ? std::min(use.least_cpu_ms, cpu) : cpu;
 }
 
 }  // namespace
@@ -77,7 +79,7 @@
                        {"change_calls", of_real.change_calls, of_hollow.change_calls},
                        {"change_bytes_in", of_real.change_bytes_in, of_hollow.change_bytes_in},
                        {"change_bytes_out", of_real.change_bytes_out, of_hollow.change_bytes_out},
-                       {"service_cpu_ms", of_real.cpu_ms, of_hollow.cpu_ms, /*speed=*/true}};
+                       {"service_cpu_ms", of_real.least_cpu_ms, of_hollow.least_cpu_ms, /*speed=*/true}};
   return comparison;
 }
 
