Count a request's time from when its bytes came, not from when they were read

The time of a request was counted from when it was read (ClientServer::Session::Take, `request.received = Now()`); while idle clients held all places it had stood in the listener's queue before that.

Change: the time is counted from when the last data came in, as TCP_INFO tells. Where the system does not tell, a request that was there when its connection was accepted counts from when the listener's queue was last known to be empty: the longest that it can have waited.

--- /dev/null
+++ b/src/gateway/arrival.cpp
@@ -0,0 +1,24 @@
+#include "arrival.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace opalswitch::gateway {
+
+std::optional<Millis> SinceLastReceived(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  // A connection always has a retransmission time-out: without one the structure was not filled in.
+  if (info.tcpi_rto == 0) return std::nullopt;
+  return info.tcpi_last_data_recv;
+}
+
+bool HasPending(int listener) {
+  pollfd queue{listener, POLLIN, 0};
+  return ::poll(&queue, 1, 0) > 0;
+}
+
+}  // namespace opalswitch::gateway
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -94,9 +94,11 @@
   Session(ClientServer& server, tcp::socket socket, bool adopted)
       : server_(server), socket_(std::move(socket)), turn_(adopted ? 1 : 0) {}
 
-  void Begin() {
+  // `waited`: to be accepted, at the longest.
+  void Begin(Millis waited) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (waited > 0 && socket_.available(ignored) > 0) first_waited_ = waited;
     Read();
   }
 
@@ -386,6 +388,12 @@
     if (waiting) server_.handlers_.gone(id_);
   }
 
+  // For how long what has come of the request may have stood in the system's queues before it was read.
+  Millis Unread() {
+    const auto told = SinceLastReceived(socket_.native_handle());
+    return told ? *told : turn_ == 0 ? first_waited_ : 0;
+  }
+
   // The request is whole, or more of it than is held has come.
   void Take() {
     if (request_.id.empty()) {
@@ -395,7 +403,7 @@
     }
     ClientRequest request = std::move(request_);
     request.http = std::exchange(http_, {});
-    request.received = Now();
+    request.received = Now() - Unread();
     request.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response,
                                                                std::shared_ptr<BodySource> rest) {
       const auto self = weak.lock();
@@ -588,6 +596,7 @@
   std::string id_, class_name_;
   bool open_request_ = false;  // one was taken, and its answer is not written
   std::uint64_t turn_ = 0;
+  Millis first_waited_ = 0;  // what was there of the first request when the connection was accepted
   Phase phase_ = Phase::kReading;
   Millis since_ = Now();
   Millis begun_at_ = since_;  // not after the first byte of the request that is being read
@@ -631,9 +640,11 @@
   const bool room = FindRoom();
   if (accepting_) return;  // since one was closed for it
   if (!room && !(TurnsAway() && sessions_.size() < most_sessions_ + kMostTurnedAway)) {
+    queue_.Observe(Now(), /*pending=*/true);
     return AcceptLater(kRoomAgain);
   }
   accepting_ = true;
+  queue_.Observe(Now(), HasPending(acceptor_.native_handle()));
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
     if (!acceptor_.is_open()) return;
@@ -642,6 +653,7 @@
       !FindRoom() && TurnsAway() ? TurnedAway(std::move(socket)) : Accepted(std::move(socket));
       return Accept();
     }
+    queue_.Observe(Now(), /*pending=*/true);
     if (ec == asio::error::no_descriptors) EvictIdle();
     AcceptLater(kAcceptAgain);  // at once would spin
   });
@@ -666,7 +678,7 @@
 void ClientServer::Accepted(tcp::socket socket, bool adopted) {
   const auto session = std::make_shared<Session>(*this, std::move(socket), adopted);
   sessions_.insert(session);
-  session->Begin();
+  session->Begin(adopted ? 0 : queue_.LongestWait(Now()));
 }
 
 void ClientServer::TurnedAway(tcp::socket socket) {
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "arrival.hpp"
 #include "body.hpp"
 #include "handover.hpp"
 #include "http_types.hpp"
@@ -24,7 +25,7 @@
 struct ClientRequest {
   HttpRequest http;
   std::string id, class_name, tenant, key;
-  Millis received = 0;               // when its last byte was read
+  Millis received = 0;               // when its last byte came to this machine, read then or later
   Millis allowed = 0;                // how long the client waits, from when it sent it
   std::shared_ptr<BodySource> rest;  // of the body, where that is not whole yet
   // Whether the client has left by now, be that told by `gone` yet or not: asks the socket.
@@ -106,6 +107,7 @@
   boost::asio::steady_timer sweep_;
   boost::asio::steady_timer accept_again_;
   bool accepting_ = false;
+  AcceptQueue queue_;
   std::optional<Millis> drains_since_;
   std::size_t active_ = 0;
   std::function<void()> stopped_;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -59,7 +59,7 @@
     std::shared_ptr<BodySource> rest;  // of the request, where it was not whole when it was taken
     bool whole = true;                 // its last byte is there
     std::string class_name;
-    Millis received = 0;         // its last byte, or what was held of a long one
+    Millis received = 0;         // when its last byte came, or what was held of a long one
     bool direct = true;          // sent or refused by the very call that took it
     Millis allowed = 0;          // from then on
     std::function<bool()> left;  // whether its client has, by the socket
