--- a/src/registry/service.hpp
+++ b/src/registry/service.hpp
@@ -43,7 +43,6 @@
   // SessionHandler
   void OnBytes(std::size_t in, std::size_t out) override;
   void OnRequest(const SessionPtr& session) override;
-  void OnResponse(const Session& session, std::size_t bytes) override;
   void OnClosed(const SessionPtr& session, CloseReason reason) override;
   // CatalogObserver
   void OnApplied(const Command& command, const Outcome& outcome) override;
@@ -51,7 +50,6 @@
   void OnReopened(const std::vector<const Member*>& changed) override;
   void OnNewRevision() override;
 
-  void CountRequest(const Session& session);
   void Listen();
   void Accept();
   void OnAccepted(boost::asio::ip::tcp::socket socket);
