Decisions walk the subset and what changed, not the whole list of hosts

Change: the subset is kept as a list; ServerRing, an index without decisions, holds the order by which it is drawn (order-statistic trees of Boost.MultiIndex, merged by a heap); servers that are not up, and those with a known latency, are kept apart; the pool touches the hosts that a change names.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -1,11 +1,9 @@
 // opalswitch: the decisions of one gateway that spreads requests over HTTP servers.
-//
-// A Policy is a state machine without I/O. The gateway reports what happens as Events and carries
-// out, in order, the Actions that it gets back. A Policy reads no clock, opens nothing and starts
-// no thread: the same settings, seed and events always give the same actions. One Policy serves
-// one gateway and is called from one thread at a time; several Policies share nothing.
-//
-// Times are milliseconds on the gateway's own monotonic clock, from any origin. Ids are opaque.
+// A Policy is a state machine without I/O. The gateway reports what happens as Events and carries out, in
+// order, the Actions that it gets back. A Policy reads no clock, opens nothing and starts no thread: the same
+// settings, seed and events always give the same actions. One Policy serves one gateway and is called from
+// one thread at a time; several Policies share nothing. Times are milliseconds on the gateway's own monotonic
+// clock, from any origin. Ids are opaque.
 #ifndef OPALSWITCH_POLICY_HPP_
 #define OPALSWITCH_POLICY_HPP_
 
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -463,18 +463,24 @@
   if (list.complete) {
     for (auto& [id, host] : hosts_) host.up = false;
   }
-  for (const Host& entry : list.hosts) {
-    HostState& host = hosts_[entry.server.id];
-    host.up = entry.server.state == ServerState::kUp;
-    if (host.address != entry.address) CloseIdle(host);
-    host.address = entry.address;
-  }
+  for (const Host& entry : list.hosts) UpdateHost(entry);
+  if (!list.complete) return;
   for (auto& [id, host] : hosts_) {
     if (!host.up) CloseIdle(host);
   }
   std::erase_if(hosts_, [](const auto& entry) { return !entry.second.up; });
 }
 
+// The cost of a change does not grow with the list: a host that is not up any more is removed at once.
+void HostPool::UpdateHost(const Host& entry) {
+  const auto found = hosts_.try_emplace(entry.server.id).first;
+  HostState& host = found->second;
+  host.up = entry.server.state == ServerState::kUp;
+  if (!host.up || host.address != entry.address) CloseIdle(host);
+  host.address = entry.address;
+  if (!host.up) hosts_.erase(found);
+}
+
 std::uint64_t HostPool::Start(const std::string& host, Order order) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -78,6 +78,7 @@
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
   };
 
+  void UpdateHost(const Host& entry);
   void CloseIdle(HostState& host);
   bool EvictIdle();
   bool MayUse(const std::string& host, const boost::asio::ip::tcp::endpoint& address) const;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,7 +7,6 @@
 #include "state.hpp"
 
 namespace opalswitch {
-namespace {
 
 // ---- Constants. General choices of the mechanism, tied to no deployment. ------------------------
 
@@ -79,18 +78,15 @@
 constexpr Millis kLatencyHalfLife = 60000;  // ms, the same of its latency and limit
 constexpr Millis kSumsHalfLife = 20000;     // ms, the same of rates and of what servers bear
 
-}  // namespace
-
 class Policy::Impl : private State {
  public:
   Impl(Settings settings, std::uint64_t seed) {
     set_ = std::move(settings);
     random_.seed(seed);
     const double worth = Validate(set_);
-    const auto& fields = set_.report_fields;
     place_ = set_.index < 0 ? Uniform() : std::fmod(set_.index * 0.6180339887498949, 1.0);
     salt_ = Hash(std::to_string(place_));
-    busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
+    busy_at_ = std::ranges::find(set_.report_fields, "util") - set_.report_fields.begin();
     for (const ClassSettings& c : set_.classes) {
       class_index_[c.name] = static_cast<int>(classes_.size());
       classes_.emplace_back().set = c;
@@ -175,6 +171,7 @@
     b.places = std::max(1.0, std::floor(b.limit));
     b.samples = static_cast<int>(kept * known.samples + 0.5);
     if (b.samples == 0) b.latency = b.steady = b.base = b.samples = 0;
+    if (b.samples > 0) measured_.insert(&b);
     b.failing = judged * known.failing;
     b.suspect = known.suspect && b.failing >= kErrBack;
     if (b.suspect) b.next_trial = now_ + judged * b.trial_gap * (0.75 + 0.5 * Uniform());
@@ -205,12 +202,13 @@
       return;
     }
     ask_gap_ = 0;
+    ++lists_;
+    for (const Server& s : news.servers) Learn(s);
     if (news.kind == ServerNews::Kind::kFull) {
-      for (auto& [id, b] : servers_) b.up = false;
+      for (auto& [id, b] : servers_) SetUp(b, b.up && b.list == lists_);
     }
-    for (const Server& s : news.servers) Learn(s);
-    std::erase_if(servers_, [](const auto& entry) { return !entry.second.up && entry.second.refs == 0; });
-    up_ = static_cast<int>(std::ranges::count_if(servers_, [](auto& entry) { return entry.second.up; }));
+    std::erase_if(down_, [this](Backend* b) { return b->up || (b->refs == 0 && Forget(*b)); });
+    up_ = static_cast<int>(ring_.size());
     ChooseSubset();
   }
 
@@ -228,21 +226,22 @@
   // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for an ejected
   // one.
   void ChooseSubset() {
-    OrderRing();
-    const double all = static_cast<double>(ring_.size());
+    for (Backend* b : subset_) b->mine = false;
+    subset_.clear();
     const double part = set_.streams > 1 ? kHeldPart : 1;
-    const double wanted = used_ = part * std::max({kLeastServers, kSharers * all / set_.gateways, Busy()});
-    sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, all)));
+    const double wanted = used_ = part * std::max({kLeastServers, kSharers * up_ / set_.gateways, Busy()});
+    sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, 1.0 * up_)));
     double chosen = 0;
-    const auto own =
-        std::find_if(ring_.begin(), ring_.end(), [this](auto& entry) { return Near(*entry.second); });
+    ServerRing::Walk walk(ring_, static_cast<std::size_t>(place_ * up_));
     for (std::size_t i = 0; i < 2 * ring_.size() && chosen < wanted; ++i) {
-      Backend& b = *ring_[(i + static_cast<std::size_t>(place_ * all)) % ring_.size()].second;
-      const bool far = own != ring_.end() && !Near(b) && Fraction(b.hash ^ salt_) > kFarShare;
+      Backend& b = walk.Next();
+      const bool far = near_up_ > 0 && !Near(b) && Fraction(b.hash ^ salt_) > kFarShare;
       if (b.mine || (far && i < ring_.size())) continue;
       b.mine = true;
       chosen += !b.suspect;
+      subset_.push_back(&b);
     }
+    std::ranges::sort(subset_, {}, [](const Backend* b) -> const std::string& { return b->info.id; });
   }
   bool Near(const Backend& b) const { return b.info.zone == set_.zone; }
   bool ManySharers() const { return sharers_ > kManySharers; }
@@ -251,15 +250,29 @@
     const auto [entry, added] = servers_.try_emplace(s.id);
     Backend& b = entry->second;
     const bool restarted = added || s.started_at > b.info.started_at;
+    if (s.kind != b.info.kind || s.zone != b.info.zone) SetUp(b, false);  // its place is another one
     b.info = s;
+    b.list = lists_;
     b.kind = &kinds_[s.kind];
     b.zone = &zones_[s.zone];
-    b.hash = Hash(s.id);
-    b.up = s.state == ServerState::kUp;
+    if (added) b.hash = Hash(s.id);
+    SetUp(b, s.state == ServerState::kUp);
     if (!(b.info.weight > 0) || !std::isfinite(b.info.weight)) b.info.weight = 1;
     if (restarted) Renew(b, s.started_at > 0 ? s.started_at : kNever);  // 0: up for long
   }
 
+  void SetUp(Backend& b, bool up) {
+    if (!up) down_.insert(&b);
+    if (std::exchange(b.up, up) == up) return;
+    up ? ring_.Insert(b) : ring_.Erase(b);
+    near_up_ += Near(b) ? (up ? 1 : -1) : 0;
+  }
+
+  bool Forget(Backend& b) {
+    measured_.erase(&b);
+    return servers_.erase(b.info.id) > 0;
+  }
+
   // A new process: cold, and nothing known of the old one holds for it.
   void Renew(Backend& b, Millis since) {
     b.cold_since = std::max(b.cold_since, since);
@@ -302,10 +315,10 @@
     double all = 0;
     const double keep = std::exp(-passed / kLongMemory);
     for (auto& [name, k] : kinds_) k.warm_served *= keep, k.warm_time *= keep;
-    for (const auto& [id, b] : servers_) {
-      if (!b.mine || !b.up || b.suspect) continue;
-      all += b.info.weight;
-      if (Warmth(b) >= 1) b.kind->warm_time += passed * b.info.weight;
+    for (const Backend* b : subset_) {
+      if (b->suspect) continue;
+      all += b->info.weight;
+      if (Warmth(*b) >= 1) b->kind->warm_time += passed * b->info.weight;
     }
     double served = 0, time = 0;
     for (const auto& [name, k] : kinds_) served += k.warm_served, time += k.warm_time;
@@ -326,8 +339,7 @@
     return b.in_flight < b.places * part && WithinBudget(b);
   }
 
-  // A zone is lost before each of its servers could show it: several were mute, no answer since. One ends
-  // that.
+  // A zone is lost before each of its servers could show it: several were mute, with no answer since.
   bool Silent(const Backend& b) const { return zones_.size() > 1 && b.zone->silent.size() >= kSilentServers; }
 
   void Suspect(Backend& b) {
@@ -406,6 +418,7 @@
   // Learns the limit of own requests that a server takes uncrowded, from how its latency grows.
   void Measure(Backend& b, double sample, bool served) {
     ++b.samples;
+    measured_.insert(&b);
     b.latency += std::max(kFast, 1.0 / b.samples) * (sample - b.latency);
     Kind& k = *b.kind;
     ++k.samples;
@@ -461,22 +474,22 @@
 
   // The better of two ready servers by (own in-flight + 1) x smoothed latency, or null.
   Backend* Pick(const Flow& flow) {
-    const bool repeatable = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
+    const bool safe = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
     candidates_.clear();
-    spared_.clear();
+    avoided_.clear();
     trials_.clear();
-    for (auto& [id, b] : servers_) {
-      if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
+    for (Backend* b : subset_) {
+      if (b == last || !Allowed(flow, *b)) continue;
       // A suspect returns by one trial at a time, with a request that may run again.
-      if (b.suspect || Silent(b)) {
-        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) trials_.push_back(&b);
+      if (b->suspect || Silent(*b)) {
+        if (safe && now_ >= b->next_trial && b->in_flight == 0 && WithinBudget(*b)) trials_.push_back(b);
         continue;
       }
-      if (!Ready(b, flow.in_share)) continue;
-      (now_ < b.errors[flow.cls].avoid_until ? spared_ : candidates_).push_back({0, &b});
+      if (!Ready(*b, flow.in_share)) continue;
+      (now_ < b->errors[flow.cls].avoid_until ? avoided_ : candidates_).push_back({0, b});
     }
-    if (candidates_.empty()) candidates_.swap(spared_);  // where all fail the class, one may have recovered
+    if (candidates_.empty()) candidates_.swap(avoided_);  // where all fail the class, one may have recovered
     // Trials cost requests, and those of all gateways add up at a server: few, unless nobody else is there.
     if (!trials_.empty() && (trial_budget_ >= 1 || candidates_.empty())) {
       trial_budget_ = std::max(0.0, trial_budget_ - 1);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -18,6 +18,7 @@
 #include "counts.hpp"
 #include "hash.hpp"
 #include "opalswitch/policy.hpp"
+#include "server_ring.hpp"
 
 namespace opalswitch {
 
@@ -44,12 +45,12 @@
   Server info;
   Kind* kind = nullptr;
   Zone* zone = nullptr;
-  std::uint64_t hash = 0;
-  bool up = false, mine = false;  // listed as such; in this gateway's subset
-  int refs = 0;                   // attempts of living requests that name it
-  int in_flight = 0;              // own attempts out
-  double busy = 0;                // reported utilisation, smoothed
-  double places = 1;              // the limit rounded by chance to whole requests
+  std::uint64_t hash = 0, list = 0;  // list: the last one that named it
+  bool up = false, mine = false;     // listed as such; in this gateway's subset
+  int refs = 0;                      // attempts of living requests that name it
+  int in_flight = 0;                 // own attempts out
+  double busy = 0;                   // reported utilisation, smoothed
+  double places = 1;                 // the limit rounded by chance to whole requests
   Millis rests_until = kNever;
   int turned_away = 0;  // requests in a row
   struct Errors {       // of one class
@@ -122,8 +123,10 @@
   std::map<std::string, Zone> zones_;
   std::map<std::string, Backend> servers_;  // ordered: iteration must be repeatable
   using Ranked = std::pair<double, Backend*>;
-  std::vector<Ranked> candidates_, spared_, ring_;
-  std::vector<Backend*> trials_;
+  std::vector<Ranked> candidates_, avoided_;
+  ServerRing ring_;                        // those that are up
+  std::vector<Backend*> subset_, trials_;  // what this gateway uses, by id; due for a trial
+  std::set<Backend*> measured_, down_;     // ever measured; not up, kept while a request names them
   std::vector<double> scratch_;
   std::vector<Flow*> due_;
   std::vector<Action>* out_ = nullptr;
@@ -135,12 +138,11 @@
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
   double spent_part_ = 0;                    // part of its memory that the spent rate has seen
   double arriving_ = 0, arriving_part_ = 0;  // first tries per ms, smoothed; part of its memory seen
-  Millis swept_at_ = kNever;
+  Millis swept_at_ = kNever, counted_at_ = kNever;
   double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1, trial_budget_ = 1;
-  int samples_ = 0, up_ = 0;
-  std::size_t queued_ = 0;
+  int samples_ = 0, up_ = 0, near_up_ = 0;  // near: in the own zone
+  std::size_t queued_ = 0, lists_ = 0;      // lists that have come, changes too
   Counts counts_;
-  Millis counted_at_ = kNever;
   double place_ = 0;        // of this gateway on the ring of servers
   std::uint64_t salt_ = 0;  // its own, by which it draws servers of other zones
   double sharers_ = 1;      // gateways that use each server
@@ -165,23 +167,10 @@
     --queued_;
   }
 
-  // Puts the servers that are up on a ring, those of each kind evenly, by an order that all gateways share.
-  void OrderRing() {
-    ring_.clear();
-    std::map<const Kind*, double> size, rank;
-    for (auto& [id, b] : servers_) {
-      b.mine = false;
-      if (b.up) ring_.push_back({static_cast<double>(b.hash >> 11), &b}), ++size[b.kind];
-    }
-    std::sort(ring_.begin(), ring_.end());
-    for (auto& [at, b] : ring_) at = rank[b->kind]++ / size[b->kind];
-    std::ranges::stable_sort(ring_, {}, &Ranked::first);
-  }
-
   double Median() {
     scratch_.clear();
-    for (auto& [id, b] : servers_) {
-      if (b.up && b.latency > 0) scratch_.push_back(b.latency);
+    for (const Backend* b : measured_) {
+      if (b->up && b->latency > 0) scratch_.push_back(b->latency);
     }
     if (scratch_.empty()) return 0;
     const auto middle = scratch_.begin() + static_cast<std::ptrdiff_t>(scratch_.size() / 2);
