--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,10 +87,13 @@
   options.service = config.discovery;
   options.other_services = config.other_discoveries;
   options.seed = config.seed;
-  options.revision = inheritance.estate ? inheritance.estate->list.revision
-                                        : std::max(config.known.revision, kept ? kept->list.revision : 0);
-  options.epoch = inheritance.estate ? inheritance.estate->list.epoch : kept ? kept->list.epoch : "";
-  options.sure = inheritance.estate || !kept || kept->list.revision <= config.known.revision;
+  options.revision = inheritance.handed_over
+                         ? inheritance.handed_over->list.revision
+                         : std::max(config.known.revision, kept ? kept->list.revision : 0);
+  options.epoch = inheritance.handed_over ? inheritance.handed_over->list.epoch
+                  : kept                  ? kept->list.epoch
+                                          : "";
+  options.sure = inheritance.handed_over || !kept || kept->list.revision <= config.known.revision;
   options.guarded = config.list_guarded;
   options.most_removed = config.most_removed;
   return options;
@@ -116,9 +119,9 @@
       list_(io, FollowerOptions(config, inheritance, kept),
             {[this] {
                list_kept_ = false;
-               told_at_ = Now();
+               list_confirmed_at_ = Now();
              },
-             [this](const HostList& list) { Told(list); }, [this](Millis took) { ListFailed(took); }}),
+             [this](const HostList& list) { ApplyList(list); }, [this](Millis took) { ListFailed(took); }}),
       figures_(config.settings),
       stop_(io),
       counting_(io),
@@ -145,12 +148,12 @@
     management_.emplace(io, *config.management, callers,
                         [this](const std::string& call) { return Manage(call); });
   }
-  const std::optional<Estate>& estate = inheritance.estate;
+  const std::optional<HandoverState>& handed_over = inheritance.handed_over;
   // A process that still runs knows better than the disk.
-  list_kept_ = !estate && kept && kept->list.revision > config.known.revision;
-  if (!estate && kept && kept->draining) SetDraining(true);
-  told_at_ = list_kept_ ? kept->kept_at : Now();
-  list_.Apply(estate ? estate->list : list_kept_ ? kept->list : config.known);
+  list_kept_ = !handed_over && kept && kept->list.revision > config.known.revision;
+  if (!handed_over && kept && kept->draining) SetDraining(true);
+  list_confirmed_at_ = list_kept_ ? kept->kept_at : Now();
+  list_.Apply(handed_over ? handed_over->list : list_kept_ ? kept->list : config.known);
   if (list_kept_) {
     base::Log(
         base::Level::kInfo, "state", "list_restored",
@@ -161,8 +164,8 @@
   }
   if (!config.state_folder.empty())
     keeper_.emplace(config.state_folder, config.state_owner, config.state_sync_delay);
-  if (estate) {
-    policy_.Adopt(Now(), estate->learned);
+  if (handed_over) {
+    policy_.Adopt(Now(), handed_over->learned);
   } else if (kept && kept->learned) {
     policy_.Adopt(Now(), *kept->learned);
     base::Log(base::Level::kInfo, "state", "learned_restored",
@@ -189,49 +192,49 @@
 }
 
 void Gateway::Take(ClientRequest request) {
-  if (flows_.contains(request.id)) {  // two answers for one id could not be told apart
+  if (active_requests_.contains(request.id)) {  // two answers for one id could not be told apart
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
     return request.answer(std::move(response), nullptr);
   }
-  Flow& flow = flows_.try_emplace(request.id, io_).first->second;
-  flow.http = std::make_shared<const HttpRequest>(std::move(request.http));
-  flow.answer = std::move(request.answer);
-  flow.left = std::move(request.left);
-  flow.rest = std::move(request.rest);
-  flow.whole = flow.rest == nullptr;
-  flow.allowed = request.allowed;
-  flow.class_name = request.class_name;
-  flow.received = request.received;
+  ActiveRequest& active = active_requests_.try_emplace(request.id, io_).first->second;
+  active.http = std::make_shared<const HttpRequest>(std::move(request.http));
+  active.answer = std::move(request.answer);
+  active.left = std::move(request.left);
+  active.rest = std::move(request.rest);
+  active.whole = active.rest == nullptr;
+  active.allowed = request.allowed;
+  active.class_name = request.class_name;
+  active.received = request.received;
   const Millis gives_up = request.received + request.allowed;
-  flow.leaves_at = gives_up - kMargin;
-  if (flow.whole) SetDeadline(request.id, flow, gives_up);
-  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now()});
-  if (Flow* const held = Find(request.id)) held->direct = false;
+  active.leaves_at = gives_up - kMargin;
+  if (active.whole) SetDeadline(request.id, active, gives_up);
+  Report(Request{request.id, request.class_name, request.tenant, request.key, active.leaves_at - Now()});
+  if (ActiveRequest* const held = Find(request.id)) held->direct = false;
 }
 
-void Gateway::SetDeadline(const std::string& id, Flow& flow, Millis gives_up) {
-  flow.leaves_at = gives_up - kMargin;
-  flow.overdue.expires_after(Span(gives_up - kLastMargin - Now()));
-  flow.overdue.async_wait([this, id](error_code ec) {
+void Gateway::SetDeadline(const std::string& id, ActiveRequest& active, Millis gives_up) {
+  active.leaves_at = gives_up - kMargin;
+  active.overdue.expires_after(Span(gives_up - kLastMargin - Now()));
+  active.overdue.async_wait([this, id](error_code ec) {
     if (!ec) Overdue(id);
   });
 }
 
 // The last byte of a long request was read: its time, and that of its attempt, begins here.
 void Gateway::Whole(const std::string& id, Millis at) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr || std::exchange(flow->whole, true)) return;
-  SetDeadline(id, *flow, at + flow->allowed);
-  for (Attempt& attempt : flow->attempts) {
+  ActiveRequest* const active = Find(id);
+  if (active == nullptr || std::exchange(active->whole, true)) return;
+  SetDeadline(id, *active, at + active->allowed);
+  for (Attempt& attempt : active->attempts) {
     if (!attempt.out) continue;
     attempt.sent = at;
-    hosts_.SetDeadline(attempt.number, std::min(at + attempt.timeout, flow->leaves_at));
+    hosts_.SetDeadline(attempt.number, std::min(at + attempt.timeout, active->leaves_at));
   }
-  Report(RequestWhole{id, flow->leaves_at - Now()});
+  Report(RequestWhole{id, active->leaves_at - Now()});
 }
 
-void Gateway::Told(const HostList& list) {
+void Gateway::ApplyList(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
   listed_ = listed_ || !list.hosts.empty();
   Report(ToNews(list));
@@ -250,7 +253,7 @@
   keep_.expires_at(due);
   keep_.async_wait([this](error_code ec) {
     if (ec || !keeper_->ok()) return;
-    keeper_->Keep({list_.Listed(), draining_, told_at_, policy_.Remember()});
+    keeper_->Keep({list_.Listed(), draining_, list_confirmed_at_, policy_.Remember()});
     KeepLater(kKeepEvery);  // what is learned goes on changing
   });
 }
@@ -275,14 +278,14 @@
 }
 
 void Gateway::Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr) return;
-  Attempt& ended = flow->attempts[attempt];
+  ActiveRequest* const active = Find(id);
+  if (active == nullptr) return;
+  Attempt& ended = active->attempts[attempt];
   ended.out = false;
   const auto report = response["Srv-Load"];
   // Before the request was whole the host had nothing to work on.
-  const Millis latency = flow->whole ? Now() - ended.sent : 0;
-  const bool held = !flow->rest || !flow->rest->begun();
+  const Millis latency = active->whole ? Now() - ended.sent : 0;
+  const bool held = !active->rest || !active->rest->begun();
   Outcome outcome{id,
                   static_cast<int>(attempt),
                   ended.host,
@@ -291,11 +294,11 @@
                   latency,
                   ParseLoad({report.data(), report.size()}, settings_.report_fields),
                   held};
-  if (result == Result::kServed) figures_.Took(flow->class_name, Figures::Span::kAtHost, latency);
-  if (result == Result::kServed && !flow->answered) {
+  if (result == Result::kServed) figures_.Took(active->class_name, Figures::Span::kAtHost, latency);
+  if (result == Result::kServed && !active->answered) {
     StripHopByHop(response);
     response.erase("Srv-Load");
-    Answer(*flow, std::move(response));
+    Answer(*active, std::move(response));
   }
   Report(std::move(outcome));
 }
@@ -303,28 +306,28 @@
 // From here on the answer is the client's, whatever the time.
 void Gateway::Begun(const std::string& id, std::size_t attempt, HttpResponse response,
                     std::shared_ptr<BodySource> rest) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr || flow->answered) {
+  ActiveRequest* const active = Find(id);
+  if (active == nullptr || active->answered) {
     asio::post(io_, [rest] { rest->Drop(); });
     return;
   }
   StripHopByHop(response);
   response.erase("Srv-Load");
-  Answer(*flow, std::move(response), std::move(rest));
+  Answer(*active, std::move(response), std::move(rest));
   Report(StreamStarted{id, static_cast<int>(attempt)});
 }
 
 // The client has left: nothing is owed any more, and what was not written to a host never will be.
 void Gateway::Gone(const std::string& id) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr || flow->answered) return;
+  ActiveRequest* const active = Find(id);
+  if (active == nullptr || active->answered) return;
   ++gone_;
   ++left_;
-  flow->answered = true;
-  flow->overdue.cancel();
+  active->answered = true;
+  active->overdue.cancel();
   Report(ClientGone{id});
   std::vector<std::uint64_t> out;
-  if (const Flow* const left = Find(id)) {
+  if (const ActiveRequest* const left = Find(id)) {
     for (const Attempt& attempt : left->attempts) {
       if (attempt.out) out.push_back(attempt.number);
     }
@@ -334,18 +337,18 @@
 
 // Whether someone still waits for the answer; a client that has left unseen is told as gone.
 bool Gateway::Awaited(const std::string& id) {
-  const Flow* const flow = Find(id);
-  if (flow == nullptr || flow->answered) return false;
-  if (!flow->left()) return true;
+  const ActiveRequest* const active = Find(id);
+  if (active == nullptr || active->answered) return false;
+  if (!active->left()) return true;
   Gone(id);
   return false;
 }
 
 // The policy's own timers answer in time; this one is for when they came late.
 void Gateway::Overdue(const std::string& id) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr || flow->answered) return;
-  Answer(*flow, HttpResponse(http::status::gateway_timeout, 11));
+  ActiveRequest* const active = Find(id);
+  if (active == nullptr || active->answered) return;
+  Answer(*active, HttpResponse(http::status::gateway_timeout, 11));
   Report(ClientGone{id});
 }
 
@@ -384,7 +387,7 @@
                  number(c.reset_new + c.reset_reused)},
                 {"clients_left_total", "counter", "Clients that left unanswered", number(left_)},
                 {"list_age_seconds", "gauge", "Since the list was last known to hold",
-                 (Now() - std::max(list_.heard_at(), told_at_)) / 1000},
+                 (Now() - std::max(list_.heard_at(), list_confirmed_at_)) / 1000},
                 {"list_old", "gauge", "1 while no list service has answered for too long",
                  ListOld() ? 1.0 : 0.0},
                 {"list_service", "gauge", "Which of the list services is watched, from 0",
@@ -451,8 +454,8 @@
     events_.pop_front();
     const std::string id = RequestOf(next);
     if (auto* const outcome = std::get_if<Outcome>(&next)) {
-      const Flow* const flow = Find(id);
-      outcome->finished = flow == nullptr || flow->answered;
+      const ActiveRequest* const active = Find(id);
+      outcome->finished = active == nullptr || active->answered;
     }
     actions.clear();
     policy_.handle(Now(), next, actions);
@@ -466,23 +469,23 @@
 
 void Gateway::Do(const Send& send) {
   const bool awaited = Awaited(send.request);
-  Flow* const flow = Find(send.request);
+  ActiveRequest* const active = Find(send.request);
   const Millis now = Now();
   // A request that is over, or one attempt too many, is never sent, whatever was decided a moment ago.
-  if (!awaited || static_cast<int>(flow->attempts.size()) >= settings_.max_attempts ||
-      (flow->rest && flow->rest->begun())) {
-    const int attempt = flow == nullptr ? 0 : static_cast<int>(flow->attempts.size());
-    if (flow != nullptr) flow->attempts.push_back({send.server, now, 0, 0, false});
+  if (!awaited || static_cast<int>(active->attempts.size()) >= settings_.max_attempts ||
+      (active->rest && active->rest->begun())) {
+    const int attempt = active == nullptr ? 0 : static_cast<int>(active->attempts.size());
+    if (active != nullptr) active->attempts.push_back({send.server, now, 0, 0, false});
     return Report(Outcome{send.request, attempt, send.server, Result::kNotSent, true, 0, {}});
   }
-  const std::size_t index = flow->attempts.size();
-  if (index == 0) Handled(*flow, now, true);
+  const std::size_t index = active->attempts.size();
+  if (index == 0) Handled(*active, now, true);
   const Millis timeout = send.timeout > 0 ? send.timeout : kMostUpload;
-  flow->attempts.push_back({send.server, now, timeout});
+  active->attempts.push_back({send.server, now, timeout});
   HostPool::Order order;
-  order.request = flow->http;
-  if (!flow->whole) order.rest = flow->rest;
-  order.deadline = flow->whole ? std::min(now + timeout, flow->leaves_at) : now + kMostUpload;
+  order.request = active->http;
+  if (!active->whole) order.rest = active->rest;
+  order.deadline = active->whole ? std::min(now + timeout, active->leaves_at) : now + kMostUpload;
   order.wanted = [this, id = send.request, write_by = now + send.written_within] {
     return Now() <= write_by && Awaited(id);
   };
@@ -493,40 +496,40 @@
     Begun(id, index, std::move(response), std::move(rest));
   };
   order.passing = [this, id = send.request] {
-    if (Flow* const passing = Find(id)) passing->http.reset();
+    if (ActiveRequest* const passing = Find(id)) passing->http.reset();
   };
   order.written = [this] { figures_.Tried(); };
   const std::uint64_t number = hosts_.Start(send.server, std::move(order));
-  flow->attempts[index].number = number;
+  active->attempts[index].number = number;
 }
 
 // The decisions have dealt with the request for the first time.
-void Gateway::Handled(const Flow& flow, Millis now, bool sent) {
-  if (sent) figures_.Took(flow.class_name, Figures::Span::kFirstAttempt, now - flow.received);
-  if (!flow.direct) figures_.Took(flow.class_name, Figures::Span::kQueued, now - flow.received);
+void Gateway::Handled(const ActiveRequest& active, Millis now, bool sent) {
+  if (sent) figures_.Took(active.class_name, Figures::Span::kFirstAttempt, now - active.received);
+  if (!active.direct) figures_.Took(active.class_name, Figures::Span::kQueued, now - active.received);
 }
 
 void Gateway::Do(const Refuse& refuse) {
-  Flow* const flow = Find(refuse.request);
-  if (flow == nullptr) return;
-  if (flow->attempts.empty()) Handled(*flow, Now(), false);
+  ActiveRequest* const active = Find(refuse.request);
+  if (active == nullptr) return;
+  if (active->attempts.empty()) Handled(*active, Now(), false);
   HttpResponse response(http::status::service_unavailable, 11);
   response.set(http::field::retry_after, Seconds(refuse.retry_after));
-  Answer(*flow, std::move(response));
+  Answer(*active, std::move(response));
   Settle(refuse.request);
 }
 
 void Gateway::Do(const Fail& fail) {
-  Flow* const flow = Find(fail.request);
-  if (flow == nullptr) return;
-  Answer(*flow, HttpResponse(http::status::bad_gateway, 11));
+  ActiveRequest* const active = Find(fail.request);
+  if (active == nullptr) return;
+  Answer(*active, HttpResponse(http::status::bad_gateway, 11));
   Settle(fail.request);
 }
 
 void Gateway::Do(const Cancel& cancel) {
-  Flow* const flow = Find(cancel.request);
+  ActiveRequest* const active = Find(cancel.request);
   const auto attempt = static_cast<std::size_t>(cancel.attempt);
-  if (flow != nullptr && attempt < flow->attempts.size()) hosts_.Cancel(flow->attempts[attempt].number);
+  if (active != nullptr && attempt < active->attempts.size()) hosts_.Cancel(active->attempts[attempt].number);
 }
 
 void Gateway::Do(const SetTimer& timer) {
@@ -543,24 +546,24 @@
   base::Log(base::Level::kInfo, "decisions", state ? "counts" : "news", log.text);
 }
 
-Gateway::Flow* Gateway::Find(const std::string& id) {
-  const auto found = flows_.find(id);
-  return found == flows_.end() ? nullptr : &found->second;
+Gateway::ActiveRequest* Gateway::Find(const std::string& id) {
+  const auto found = active_requests_.find(id);
+  return found == active_requests_.end() ? nullptr : &found->second;
 }
 
-void Gateway::Answer(Flow& flow, HttpResponse response, std::shared_ptr<BodySource> rest) {
-  if (std::exchange(flow.answered, true)) return;
-  flow.overdue.cancel();
-  figures_.Took(flow.class_name, Figures::Span::kAll, Now() - flow.received);
-  std::exchange(flow.answer, nullptr)(std::move(response), std::move(rest));
+void Gateway::Answer(ActiveRequest& active, HttpResponse response, std::shared_ptr<BodySource> rest) {
+  if (std::exchange(active.answered, true)) return;
+  active.overdue.cancel();
+  figures_.Took(active.class_name, Figures::Span::kAll, Now() - active.received);
+  std::exchange(active.answer, nullptr)(std::move(response), std::move(rest));
 }
 
 void Gateway::Settle(const std::string& id) {
-  const auto found = flows_.find(id);
-  if (found == flows_.end() || !found->second.answered) return;
+  const auto found = active_requests_.find(id);
+  if (found == active_requests_.end() || !found->second.answered) return;
   const auto& attempts = found->second.attempts;
   if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; })) {
-    flows_.erase(found);
+    active_requests_.erase(found);
   }
 }
 
@@ -570,7 +573,7 @@
   hosts_.SetMost(half ? std::max<std::size_t>(1, most_hosts_ / 2) : most_hosts_);
 }
 
-Estate Gateway::Leave() const { return {list_.Listed(), policy_.Remember()}; }
+HandoverState Gateway::Leave() const { return {list_.Listed(), policy_.Remember()}; }
 
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
@@ -595,7 +598,7 @@
   stop_.expires_after(Span(time));
   stop_.async_wait([this, done](error_code) {
     std::vector<std::string> left;
-    for (const auto& [id, flow] : flows_) left.push_back(id);
+    for (const auto& [id, active] : active_requests_) left.push_back(id);
     for (const std::string& id : left) Overdue(id);
     stop_.expires_after(Span(kFlush));
     stop_.async_wait([done](error_code) { done(); });
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -52,8 +52,8 @@
     bool out = true;
   };
   // A client's request, until it is answered and all its attempts have ended.
-  struct Flow {
-    explicit Flow(boost::asio::io_context& io) : overdue(io) {}
+  struct ActiveRequest {
+    explicit ActiveRequest(boost::asio::io_context& io) : overdue(io) {}
     std::shared_ptr<const HttpRequest> http;
     std::shared_ptr<BodySource> rest;  // of the request, where it was not whole when it was taken
     bool whole = true;                 // its last byte is there
@@ -72,13 +72,13 @@
   Gateway(boost::asio::io_context& io, const Config& config, Inheritance inheritance,
           std::optional<KeptState> kept);
 
-  Estate Leave() const;
+  HandoverState Leave() const;
   void SetPlaces(bool half);
   void LeaveTo(std::function<void()> done);
   void FinishBy(Millis time, const std::function<void()>& done);
 
   void Take(ClientRequest request);
-  void Told(const HostList& list);
+  void ApplyList(const HostList& list);
   void ListFailed(Millis took);
   bool ListOld() const;
   void Whole(const std::string& id, Millis at);
@@ -99,7 +99,7 @@
   // causes at once waits in the queue.
   void Report(Event event);
   void Do(const Send& send);
-  void Handled(const Flow& flow, Millis now, bool sent);
+  void Handled(const ActiveRequest& active, Millis now, bool sent);
   void Do(const Refuse& refuse);
   void Do(const Fail& fail);
   void Do(const Cancel& cancel);
@@ -107,9 +107,9 @@
   void Do(const Watch& watch);
   void Do(const Log& log);
 
-  Flow* Find(const std::string& id);
-  void Answer(Flow& flow, HttpResponse response, std::shared_ptr<BodySource> rest = nullptr);
-  void SetDeadline(const std::string& id, Flow& flow, Millis gives_up);
+  ActiveRequest* Find(const std::string& id);
+  void Answer(ActiveRequest& active, HttpResponse response, std::shared_ptr<BodySource> rest = nullptr);
+  void SetDeadline(const std::string& id, ActiveRequest& active, Millis gives_up);
   void Settle(const std::string& id);
 
   boost::asio::io_context& io_;
@@ -118,7 +118,7 @@
   const std::size_t most_clients_, most_hosts_;  // connections, while this process is the whole gateway
   HostPool hosts_;
   ListFollower list_;
-  std::unordered_map<std::string, Flow> flows_;
+  std::unordered_map<std::string, ActiveRequest> active_requests_;
   std::deque<Event> events_;
   bool reporting_ = false;
   bool listed_ = false;  // some list of hosts is known
@@ -135,8 +135,8 @@
   boost::asio::steady_timer keep_;
   const Millis list_old_after_, started_at_;
   bool said_old_ = false;
-  Millis told_at_ = 0;      // when the list was last known to hold
-  bool list_kept_ = false;  // the list in force is from the disk, and discovery has not answered yet
+  Millis list_confirmed_at_ = 0;  // when the list was last known to hold
+  bool list_kept_ = false;        // the list in force is from the disk, and discovery has not answered yet
   ClientServer clients_;
   std::optional<ManagementServer> management_;
 };
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -118,22 +118,22 @@
   return own == address;
 }
 
-std::string ToText(const Estate& estate) {
-  json all = ToJson(estate.learned);
-  all["list"] = json::parse(ToText(estate.list));
+std::string ToText(const HandoverState& handed_over) {
+  json all = ToJson(handed_over.learned);
+  all["list"] = json::parse(ToText(handed_over.list));
   return all.dump();
 }
 
-std::optional<Estate> ParseEstate(const std::string& text) {
+std::optional<HandoverState> ParseHandoverState(const std::string& text) {
   try {
     const json all = json::parse(text);
     const auto list = ParseHostList(all.at("list").dump());
     if (!list) return std::nullopt;
-    Estate estate{*list, LearnedFromJson(all)};
+    HandoverState handed_over{*list, LearnedFromJson(all)};
     // What a process that runs believes holds as it stands: nothing was missed.
-    estate.learned.at = Now();
-    for (Learned::Server& server : estate.learned.servers) server.heard_at = estate.learned.at;
-    return estate;
+    handed_over.learned.at = Now();
+    for (Learned::Server& server : handed_over.learned.servers) server.heard_at = handed_over.learned.at;
+    return handed_over;
   } catch (const std::exception&) {
     return std::nullopt;
   }
@@ -169,7 +169,7 @@
     return {};
   }
   Descriptor none;
-  if (AwaitWord(link.get(), until, word, none)) all.estate = ParseEstate(word);
+  if (AwaitWord(link.get(), until, word, none)) all.handed_over = ParseHandoverState(word);
   all.link = std::move(link);
   return all;
 }
@@ -279,7 +279,7 @@
   const int copy = listener < 0 ? -1 : ::fcntl(listener, F_DUPFD_CLOEXEC, 0);
   if (copy >= 0) {
     caller_->Say("listener", Descriptor(copy));
-    caller_->Say(ToText(handlers_.estate()));
+    caller_->Say(ToText(handlers_.handed_over()));
   }
   // Posted, for the link's own handler is what runs now.
   asio::post(io_, [this, alive = alive_, said = copy >= 0, link = caller_.get()] {
--- a/src/gateway/handover.hpp
+++ b/src/gateway/handover.hpp
@@ -39,7 +39,7 @@
 };
 
 // What the old process tells: its list of hosts, and what it has learned.
-struct Estate {
+struct HandoverState {
   HostList list;
   Learned learned;
 };
@@ -76,7 +76,7 @@
 // The new process at its start: all that the old one left, as far as there is one.
 struct Inheritance {
   Descriptor listener;
-  std::optional<Estate> estate;
+  std::optional<HandoverState> handed_over;
   Descriptor link;
 };
 
@@ -86,11 +86,11 @@
 // The running process: waits for the one that replaces it.
 class Handover {
  public:
-  // Gives the listener and the estate to whoever asks, and then the link to them. One link at a time; a later
-  // process that asks takes the place of one that is gone.
+  // Gives the listener and the handed_over to whoever asks, and then the link to them. One link at a time; a
+  // later process that asks takes the place of one that is gone.
   struct Handlers {
     std::function<int()> listener;  // -1: none any more
-    std::function<Estate()> estate;
+    std::function<HandoverState()> handed_over;
     std::function<void(std::unique_ptr<Link>)> linked;
   };
   // What stands at the path is removed if nobody listens there; where that fails nothing is handed over.
--- a/src/gateway/replacement.cpp
+++ b/src/gateway/replacement.cpp
@@ -41,7 +41,7 @@
   handover_.emplace(
       io_, path_,
       Handover::Handlers{[this] { return successor_ || handlers_.stopping() ? -1 : handlers_.listener(); },
-                         handlers_.estate,
+                         handlers_.handed_over,
                          [this](std::unique_ptr<Link> link) { ShareWithSuccessor(std::move(link)); }});
 }
 
--- a/src/gateway/replacement.hpp
+++ b/src/gateway/replacement.hpp
@@ -17,13 +17,13 @@
  public:
   // What it asks of the gateway, and tells it.
   struct Handlers {
-    std::function<bool()> ready;            // takes clients
-    std::function<bool()> stopping;         // SIGTERM has come
-    std::function<int()> listener;          // for the process that comes; -1: none any more
-    std::function<Estate()> estate;         // for it as well
-    std::function<void(double)> scale;      // the rate, by this factor
-    std::function<void(bool half)> places;  // half of the clients' and hosts' places, or all again
-    std::function<void(Descriptor)> adopt;  // a client's connection from the process before
+    std::function<bool()> ready;                 // takes clients
+    std::function<bool()> stopping;              // SIGTERM has come
+    std::function<int()> listener;               // for the process that comes; -1: none any more
+    std::function<HandoverState()> handed_over;  // for it as well
+    std::function<void(double)> scale;           // the rate, by this factor
+    std::function<void(bool half)> places;       // half of the clients' and hosts' places, or all again
+    std::function<void(Descriptor)> adopt;       // a client's connection from the process before
   };
 
   // `path` of the socket on which replacements ask; empty: none comes, and nothing of the below happens.
