Scale runs: the linter's findings mended

Change: names of parameters, an explicit constructor, a reserved vector, an aligned vector header. No behaviour changes.

--- a/src/lab/scale/hollow_process.hpp
+++ b/src/lab/scale/hollow_process.hpp
@@ -30,7 +30,7 @@
   base::Millis all_ready_at = 0;     // base::Now; 0: not yet
 };
 nlohmann::json ToJson(const HollowState& state);
-HollowState HollowStateFromJson(const nlohmann::json& json);
+HollowState HollowStateFromJson(const nlohmann::json& form);
 
 // When a gateway had which revision; base::Now.
 struct RevisionHeard {
@@ -40,7 +40,7 @@
 // By gateway, in the order in which they were heard since the last such question: GET /news.
 using HollowNews = std::vector<std::vector<RevisionHeard>>;
 nlohmann::json ToJson(const HollowNews& news);
-HollowNews HollowNewsFromJson(const nlohmann::json& json);
+HollowNews HollowNewsFromJson(const nlohmann::json& form);
 
 }  // namespace elderhead::lab
 
--- a/src/lab/scale/request_queue.cpp
+++ b/src/lab/scale/request_queue.cpp
@@ -55,7 +55,7 @@
   if (send(socket_, &request, sizeof request, 0) < 0) Fail("can't ask the kernel for its sockets");
   const in_addr_t address = htonl(listener_.address().to_v4().to_uint());
   const in_port_t port = htons(listener_.port());
-  alignas(nlmsghdr) static thread_local std::vector<char> buffer(kBuffer);
+  std::vector<char> buffer(kBuffer);  // aligned for any type
   int waiting = 0;
   for (;;) {
     const ssize_t got = recv(socket_, buffer.data(), buffer.size(), 0);
--- a/src/lab/scale/scale_experiment.cpp
+++ b/src/lab/scale/scale_experiment.cpp
@@ -44,6 +44,7 @@
 template <typename Value>
 std::vector<std::string> Words(const std::vector<std::pair<std::string, Value>>& named) {
   std::vector<std::string> words;
+  words.reserve(named.size());
   for (const auto& [word, value] : named) words.push_back(word);
   return words;
 }
@@ -197,19 +198,19 @@
   return size;
 }
 
-std::map<std::string, double> FixedFigures(const FleetSize& f) {
-  return {{"hosts", f.hosts},
-          {"gateways_real", f.gateways_real},
-          {"gateways_hollow", f.gateways_hollow},
-          {"gateways_stated", f.gateways_stated},
-          {"services", f.services},
-          {"classes", f.classes},
-          {"tenants", f.tenants},
-          {"zones", f.zones},
-          {"changes_per_s", f.changes_per_s},
-          {"requests_per_s", f.requests_per_s},
-          {"lease_term_s", f.lease_term / kMs},
-          {"whole_lists_per_s", f.whole_lists_per_s}};
+std::map<std::string, double> FixedFigures(const FleetSize& size) {
+  return {{"hosts", size.hosts},
+          {"gateways_real", size.gateways_real},
+          {"gateways_hollow", size.gateways_hollow},
+          {"gateways_stated", size.gateways_stated},
+          {"services", size.services},
+          {"classes", size.classes},
+          {"tenants", size.tenants},
+          {"zones", size.zones},
+          {"changes_per_s", size.changes_per_s},
+          {"requests_per_s", size.requests_per_s},
+          {"lease_term_s", size.lease_term / kMs},
+          {"whole_lists_per_s", size.whole_lists_per_s}};
 }
 
 std::map<std::string, double> FixedFigures(const ScaleExperiment& experiment) {
--- a/src/lab/scale/storms.cpp
+++ b/src/lab/scale/storms.cpp
@@ -33,7 +33,7 @@
 // counters, with one question out at a time, so that a busy service is not asked more.
 class StormSampler {
  public:
-  StormSampler(ScaleFleet& fleet)
+  explicit StormSampler(ScaleFleet& fleet)
       : fleet_(fleet), queue_(fleet.list_service_address()), timer_(fleet.loop().io()) {}
 
   void Start() {
