A server is forgotten only after the subset that named it is drawn anew

Cause: On(ServerNews) erased servers that had left, then ChooseSubset cleared a mark on those of the subset until then, some of them erased. Lines at fault: the order of the two, new with the decisions by subset. Change: forgotten after the draw, which names only servers that are up. Measured: the tests of the decisions under the address and undefined-behaviour sanitizers, all up to SlowStart without a report; SlowStart was cut off by the time given to it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -207,9 +207,9 @@
     if (news.kind == ServerNews::Kind::kFull) {
       for (auto& [id, b] : servers_) SetUp(b, b.up && b.list == lists_);
     }
-    std::erase_if(down_, [this](Backend* b) { return b->up || (b->refs == 0 && Forget(*b)); });
     up_ = static_cast<int>(ring_.size());
-    ChooseSubset();
+    ChooseSubset();  // before any is forgotten: the subset until now names servers
+    std::erase_if(down_, [this](Backend* b) { return b->up || (b->refs == 0 && Forget(*b)); });
   }
 
   Millis AskSpread() const {
