Scale runs: a request under way at the end of a load does not hold its connection

Seen: the leak sanitizer on ScaleFleet and HollowGateways tests. Cause: SendTo's handler held the connection that holds the handler. Change: it holds it weakly. Checked: it compiles; the tests under the sanitizers were not run again.

--- a/src/lab/scale/request_load.cpp
+++ b/src/lab/scale/request_load.cpp
@@ -129,9 +129,12 @@
   ++counts_.sent;
   connection->Exchange(
       Text(id), kPatience,
-      [this, &target, connection, id, sent = base::Now()](ClientConnection::Result result) {
+      // Weak: the connection holds this handler, and would hold itself where the load ends before the answer.
+      [this, &target, weak = std::weak_ptr(connection), id,
+       sent = base::Now()](ClientConnection::Result result) {
         const Millis held = held_.Take(id);
-        if (connection->usable()) target.free.push_back(connection);
+        const auto answered = weak.lock();
+        if (answered && answered->usable()) target.free.push_back(answered);
         if (result.failure != ClientConnection::Failure::kNone || result.response.result_int() != 200) {
           return void(++counts_.not_served);
         }
