--- a/src/lab/scale/fleet_members.cpp
+++ b/src/lab/scale/fleet_members.cpp
@@ -132,15 +132,16 @@
   }
   const auto connection = std::exchange(operators_, nullptr);
   ++changes_out_;
-  connection->Exchange(ToRequest(command), kPatience,
-                       [this, connection, sent_at = base::Now()](ClientConnection::Result result) {
-                         --changes_out_;
-                         operators_ = connection;
-                         if (!Good(result)) return void(++changes_failed_);
-                         ++changes_kept_;
-                         const auto outcome = registry::ParseOutcome(200, result.response.body());
-                         if (outcome.changed) kept_.push_back({outcome.revision, sent_at});
-                       });
+  connection->Exchange(
+      ToRequest(command), kPatience,
+      [this, weak = std::weak_ptr(connection), sent_at = base::Now()](ClientConnection::Result result) {
+        --changes_out_;
+        operators_ = weak.lock();  // else the connection would hold itself
+        if (!Good(result)) return void(++changes_failed_);
+        ++changes_kept_;
+        const auto outcome = registry::ParseOutcome(200, result.response.body());
+        if (outcome.changed) kept_.push_back({outcome.revision, sent_at});
+      });
 }
 
 std::vector<KeptChange> FleetMembers::TakeKept() { return std::exchange(kept_, {}); }
