Review case 3: a booking with a long body is answered 2 s too late when its host hangs

Cause: a request whose body is streamed has no deadline while the gateway waits for the host to read it; only kEndpointReadTimeoutMs of 5 s ends the wait.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run_case.sh" "$(dirname "$0")"
