Review case 2: half of the answers would end before the earliest SIGKILL

Cause: the case left open whether the platform's SIGKILL, 3.7 s after SIGTERM at the earliest, excuses the cut. Change: four of the eight answers end 3.6 s after SIGTERM, the others 5.0 s after it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,9 @@
 CLIENTS = 8
 PIECE = 16000
 PIECES = 40         # 640,000 bytes, with a Content-Length
-PIECE_EVERY_S = 0.15  # about 107 kB a second: the whole answer takes 6 s
+# The pause between two pieces, of even and odd requests: 6.0 s and 4.6 s for the whole answer (107 and 139 kB a
+# second). It would end 5.0 s and 3.6 s after SIGTERM.
+PIECE_EVERY_S = (0.15, 0.115)
 TERM_AFTER_S = 1.0
 KILL_AFTER_TERM_S = 10.0  # the pages: not before the longest deadline (3 s) and 0.7 s more
 
@@ -26,12 +28,14 @@
             await h.read_body(reader, fields)
             request_id = fields["req-id"]
             record("%s begins its answer to %s" % (name, request_id))
+            start = asyncio.get_running_loop().time()
             try:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (PIECE * PIECES))
-                for _ in range(PIECES):
+                for piece in range(PIECES):
+                    due = start + (piece + 1) * PIECE_EVERY_S[int(request_id) % 2]
+                    await asyncio.sleep(due - asyncio.get_running_loop().time())
                     writer.write(b"y" * PIECE)
                     await writer.drain()
-                    await asyncio.sleep(PIECE_EVERY_S)
             except OSError:
                 record("%s: the gateway cut off the answer to %s" % (name, request_id))
                 raise
