--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,7 +45,7 @@
         loop = asyncio.get_running_loop()
         client_socket = socket.create_connection(("127.0.0.1", gateway.port))
         client_socket.setblocking(False)
-        line = "nothing"
+        line, written = "nothing", None
         try:
             data = h.request_head(request_id, "confirm-booking", int(DEADLINE_S * 1000), size)
             record("client sends confirm-booking %s with %d bytes of body" % (request_id, size))
@@ -63,12 +63,14 @@
             line = answer.split(b"\r\n")[0].decode("latin-1") or "a close"
         except (OSError, asyncio.TimeoutError) as error:
             record("client: %s: %r" % (request_id, error))
-            if line == "nothing" and "written" not in locals():
+            if written is None:
                 return  # the last byte was never written, so the request was not taken
         finally:
             client_socket.close()
         after = time.monotonic() - written
         record("client gets '%s' for %s %.3f s after its last byte" % (line, request_id, after))
+        if line in ("nothing", "a close") and after <= DEADLINE_S + LATE_S:
+            breaks.append("%s got %s instead of an answer %.3f s after its last byte" % (request_id, line, after))
         if after > DEADLINE_S + LATE_S:
             breaks.append("%s got '%s' %.3f s after its last byte; it waits for %.1f s" % (
                 request_id, line, after, DEADLINE_S))
