--- a/review/2/case.py
+++ b/review/2/case.py
@@ -93,4 +93,4 @@
     return breaks
 
 
-h.main(os.path.dirname(os.path.abspath(__file__)), case)
+h.main(sys.argv[1], case)  # record.txt in this folder, see run.sh
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -32,9 +32,8 @@
 class Record:
     """record.txt: what was sent, answered and run, with the time since the start in seconds."""
 
-    def __init__(self, folder):
-        self.path = os.path.join(folder, "record.txt")
-        self.file = open(self.path, "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
 
     def __call__(self, text):
@@ -272,9 +271,9 @@
 
 # --- Running a case
 
-def main(folder, case, limit_s=110):
+def main(record_path, case, limit_s=110):
     """Runs `case(record)`, which returns a list of breaks of the rule. Exit code: 1 broken, 0 held, 2 not run."""
-    record = Record(folder)
+    record = Record(record_path)
     record("TROUBLE=%d" % TROUBLE)
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record), limit_s))
@@ -285,5 +284,6 @@
     for text in breaks:
         record("BROKEN: " + text)
     record("result: %s" % ("the rule was broken %d times" % len(breaks) if breaks else "the rule held"))
-    print("%s: %s" % (os.path.basename(folder), "broken, %d times" % len(breaks) if breaks else "held"))
+    name = os.path.basename(os.path.dirname(os.path.abspath(record_path)))
+    print("%s: %s" % (name, "broken, %d times" % len(breaks) if breaks else "held"))
     sys.exit(1 if breaks else 0)
