Finish responses that have begun before the process ends

Cause: Gateway::CompleteRequestsWithin ended the event loop 3.3 s + 0.2 s after SIGTERM. That is the time for requests without a response, which SIGKILL could lose; responses in progress were ended by it too. Ruled out: hosts and clients (both went on), the connections' timeouts (30 s, 10 s), TimeOutAll (it leaves such requests alone).

Change: after the 3.3 s new requests are rejected with 503, and the process runs until no response is unfinished, at most for the time of a 32 MB body at the minimum rate. A client that still sends its body is read on until it has its response. The time for requests without a response, and so SIGKILL's window, is unchanged.

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -30,6 +30,8 @@
   return http::status::bad_request;
 }
 
+RequestError DrainError() { return {http::status::service_unavailable, "this gateway drains"}; }
+
 HttpResponse MakeErrorResponse(const RequestError& error, Millis retry_after_ms) {
   HttpResponse response(error.status, 11);
   if (retry_after_ms > 0) response.set(http::field::retry_after, FormatSeconds(retry_after_ms));
@@ -112,6 +114,17 @@
   return phase_ == Phase::kReading || (phase_ == Phase::kLingering && !shed_);
 }
 
+bool ClientConnection::HasUnfinishedResponse() const {
+  switch (phase_) {
+    case Phase::kServing: return true;
+    case Phase::kWriting: return request_open_ || reader_.in_body();
+    case Phase::kLingering: return reader_.in_body();
+    case Phase::kReading:
+    case Phase::kClosed: return false;
+  }
+  return false;
+}
+
 Millis ClientConnection::last_progress_at() const {
   return std::max(phase_entered_at_, reader_.last_progress_at());
 }
@@ -140,8 +153,8 @@
   if (const auto error = ValidateFraming(head, reader_.framing())) return RejectAndClose(*error);
   is_readiness_check_ = IsReadinessCheck(head);
   if (!is_readiness_check_) {
-    if (const auto error = context_.validator.Validate(head, attributes_)) {
-      // If the invalid request has a body, the connection does not know where the next request starts.
+    if (const auto error = ValidateRequest(head)) {
+      // If the rejected request has a body, the connection does not know where the next request starts.
       if (!reader_.done()) return RejectAndClose(*error);
       EnterPhase(Phase::kServing);
       return RespondWithError(*error);
@@ -150,6 +163,12 @@
   reader_.ReadBody(request_started_at_);
 }
 
+std::optional<RequestError> ClientConnection::ValidateRequest(const HttpRequest& head) {
+  if (auto error = context_.validator.Validate(head, attributes_)) return error;
+  if (context_.rejects_requests) return DrainError();
+  return std::nullopt;
+}
+
 void ClientConnection::OnReadError(error_code error) {
   if (!IsProtocolViolation(error)) return OnDisconnect();
   CancelIncompleteRequest();
@@ -265,7 +284,7 @@
       reader_.in_body() ? reader_.BodyTimedOut(now) : now - request_started_at_ > kHeadTimeoutMs;
   if (in_request && too_slow) return RejectSlowRequest();
   if (in_request && context_.drain.RejectsIncompleteRequests(now)) {
-    return RejectAndClose({http::status::service_unavailable, "this gateway drains"});
+    return RejectAndClose(DrainError());
   }
   if (context_.drain.ClosesIdleConnections(now) && IsSettled(now)) return Close();
   const Millis idle_timeout_ms = is_first_request ? kFirstRequestTimeoutMs : kIdleTimeoutMs;
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/file_descriptor.hpp"
@@ -51,6 +52,7 @@
   BufferBudget body_budget;          // accounts for the buffered parts of all request bodies
   DrainState drain = {};
   std::size_t active_requests = 0;   // complete requests whose response is not written yet
+  bool rejects_requests = false;     // whether the response to a request whose head arrives is 503
   ConnectionTransfer transfer = {};  // empty until the transfer of idle connections begins
 };
 
@@ -99,6 +101,10 @@
   // a request or reads one. Also true while it lingers after its last response, unless the connection was
   // shed.
   bool IsReclaimable() const;
+  // Whether a response is owed or not written completely, or the client still sends the body of a request
+  // that has its response. In the last case a close would reset the connection, and the client could lose the
+  // response.
+  bool HasUnfinishedResponse() const;
   // The start of the current phase. For an idle connection, this is the time at which it became idle.
   Millis phase_entered_at() const { return phase_entered_at_; }
   // The last time at which the connection observed progress of an incomplete request.
@@ -141,6 +147,7 @@
   void AwaitRequest();
   void DispatchRequest();
   void OnRequestComplete();
+  std::optional<RequestError> ValidateRequest(const HttpRequest& head);
   Millis TimeInKernelQueues();
 
   void WatchForDisconnect();
--- a/src/proxy/client/client_server.hpp
+++ b/src/proxy/client/client_server.hpp
@@ -62,6 +62,11 @@
   // Begins a drain, accepts the pending connections, then closes the listener and the idle connections. Calls
   // `done` when no connection remains open.
   void StopListening(std::function<void()> done);
+  // From now on, responds with 503 to each request whose head arrives, for the end of a stop.
+  void RejectRequests() { context_.rejects_requests = true; }
+  // Returns whether the end of the process would cut off a response, see
+  // ClientConnection::HasUnfinishedResponse.
+  bool HasUnfinishedResponses() const { return table_.HasUnfinishedResponses(); }
 
  private:
   // ClientConnectionOwner
--- a/src/proxy/client/connection_table.cpp
+++ b/src/proxy/client/connection_table.cpp
@@ -31,6 +31,11 @@
                              [](const auto& connection) { return connection->IsReclaimable(); });
 }
 
+bool ConnectionTable::HasUnfinishedResponses() const {
+  return std::ranges::any_of(connections_,
+                             [](const auto& connection) { return connection->HasUnfinishedResponse(); });
+}
+
 bool ConnectionTable::EvictOne() {
   const Millis now = Now();
   std::shared_ptr<ClientConnection> longest_idle;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -7,7 +7,9 @@
 
 #include "base/log.hpp"
 #include "proxy/admin/start_log.hpp"
+#include "proxy/client/body_progress.hpp"
 #include "proxy/clock.hpp"
+#include "proxy/http_types.hpp"
 #include "proxy/listener.hpp"
 
 namespace gateway::proxy {
@@ -19,10 +21,13 @@
 // How long the gateway accepts connections after SIGTERM. The load balancer opens new connections for up to
 // 400 ms after SIGTERM.
 constexpr Millis kAcceptAfterStopMs = 500;
-// The time after SIGTERM in which requests may complete. SIGKILL follows at the earliest 3700 ms after
-// SIGTERM.
+// The time after SIGTERM within which each request has a response, or its response has begun. SIGKILL follows
+// at the earliest 3700 ms after SIGTERM.
 constexpr Millis kRespondWithinMs = 3300;
-constexpr Millis kFlushTimeMs = 200;  // time to send the last responses
+// The time to write the responses that have begun: that of the largest body at the minimum rate.
+constexpr Millis kFinishResponsesWithinMs = static_cast<double>(kMaxBodyBytes) / kMinBodyBytesPerMs;
+constexpr Millis kFinishPollIntervalMs = 50;  // time between two checks whether all responses were written
+constexpr Millis kFlushTimeMs = 200;          // time to send the last responses
 // The buffered request bodies may use 1/4 of the memory, and the buffered response bodies also 1/4.
 constexpr std::size_t kBodyBudgetDivisor = 4;
 constexpr std::size_t kMinManagementConnections = 2;
@@ -281,8 +286,7 @@
   if (std::exchange(stopping_, true)) return;
   if (hot_restart_.HasReadySuccessor()) return StopForSuccessor(done);
   clients_.SetDraining(true);
-  stop_timer_.expires_after(TimerDuration(kAcceptAfterStopMs));
-  stop_timer_.async_wait([this, done = std::move(done)](error_code) {
+  RunAfter(kAcceptAfterStopMs, [this, done = std::move(done)] {
     clients_.StopListening(done);
     CompleteRequestsWithin(kRespondWithinMs - kAcceptAfterStopMs, done);
   });
@@ -299,11 +303,25 @@
 }
 
 void Gateway::CompleteRequestsWithin(Millis timeout, const std::function<void()>& done) {
-  stop_timer_.expires_after(TimerDuration(timeout));
-  stop_timer_.async_wait([this, done](error_code) {
+  RunAfter(timeout, [this, done] {
     requests_.TimeOutAll();
-    stop_timer_.expires_after(TimerDuration(kFlushTimeMs));
-    stop_timer_.async_wait([done](error_code) { done(); });
+    clients_.RejectRequests();
+    FinishResponses(Now() + kFinishResponsesWithinMs, done);
+  });
+}
+
+// Calls `done` when the responses that have begun were written, or at `finish_by`. The timeouts of each
+// connection end a response earlier if the endpoint or the client makes no progress.
+void Gateway::FinishResponses(Millis finish_by, const std::function<void()>& done) {
+  if (!clients_.HasUnfinishedResponses() || Now() >= finish_by) return RunAfter(kFlushTimeMs, done);
+  RunAfter(kFinishPollIntervalMs, [this, finish_by, done] { FinishResponses(finish_by, done); });
+}
+
+// Replaces the pending action of a stop, if there is one.
+void Gateway::RunAfter(Millis delay, std::function<void()> action) {
+  stop_timer_.expires_after(TimerDuration(delay));
+  stop_timer_.async_wait([action = std::move(action)](error_code error) {
+    if (!error) action();
   });
 }
 
--- a/src/proxy/gateway.hpp
+++ b/src/proxy/gateway.hpp
@@ -46,9 +46,9 @@
   // Changes the address of the first list service and at once begins a watch of the endpoint list there.
   void ChangeDiscoveryAddress(const boost::asio::ip::tcp::endpoint& address);
 
-  // Stops gracefully: accepts connections for a short time, responds to all requests, then calls `done`. If a
-  // successor process is ready, stops accepting connections at once and transfers the idle connections to the
-  // successor.
+  // Stops gracefully: accepts connections for a short time, responds to all requests, writes the responses
+  // that have begun completely, then calls `done`. If a successor process is ready, stops accepting
+  // connections at once and transfers the idle connections to the successor.
   void Stop(std::function<void()> done);
 
  private:
@@ -81,6 +81,8 @@
   TransferredState StateForSuccessor() const { return {list_.Snapshot(), driver_.policy().ExportState()}; }
   void StopForSuccessor(const std::function<void()>& done);
   void CompleteRequestsWithin(Millis timeout, const std::function<void()>& done);
+  void FinishResponses(Millis finish_by, const std::function<void()>& done);
+  void RunAfter(Millis delay, std::function<void()> action);
 
   boost::asio::io_context& io_;
   const policy::Settings settings_;
--- a/tests/proxy/hot_restart_test.cpp
+++ b/tests/proxy/hot_restart_test.cpp
@@ -21,9 +21,9 @@
     std::filesystem::remove_all(folder);
     std::filesystem::create_directory(folder);
     host.serve = [this](const FakeServer::ReceivedRequest& request) {
-      if (request.http["Req-Id"] != "pending")
-        return request.Respond(200, std::string(request.http["Req-Id"]));
-      pending.push_back(request);
+      const std::string id(request.http["Req-Id"]);
+      if (id == "pending") return pending.push_back(request);
+      if (id != never_answered) request.Respond(200, id);
     };
     discovery.serve = [](const FakeServer::ReceivedRequest&) {};
   }
@@ -71,6 +71,7 @@
   FakeServer host{io}, discovery{io};
   // Requests with the ID "pending". The test responds to them.
   std::vector<FakeServer::ReceivedRequest> pending;
+  std::string never_answered;  // the ID of a request to which the host does not respond
   const tcp::endpoint listen = ReserveAddress();
   std::filesystem::path folder;
   const ConfigFile file{nlohmann::json{
@@ -150,6 +151,34 @@
   EXPECT_EQ(fixture.Request(idle, "four", 3), "four");
 }
 
+// A response that the old process has begun to send may take longer than the old process serves requests. The
+// old process must complete it before it exits, and then transfer the connection.
+TEST(HotRestart, OldProcessWritesAResponseThatHasBegunCompletely) {
+  constexpr std::size_t kBodyBytes = 200000;
+  HotRestartFixture fixture;
+  auto old = fixture.Start();
+  ASSERT_TRUE(fixture.BecomesReady(old));
+  Client reader(fixture.io, fixture.listen), waiting(fixture.io, fixture.listen);
+  reader.Send(ApiCall("pending", "pay"));
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return fixture.pending.size() == 1; }));
+  FakeServer::Connection& host = *fixture.pending[0].connection;
+  host.WriteRaw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n" +
+                std::string(kBodyBytes / 2, 'x'));
+  fixture.never_answered = "waiting";
+  waiting.Send(ApiCall("waiting", "pay"));
+  auto next = fixture.Start();
+  ASSERT_TRUE(fixture.BecomesReady(next));
+  old.process->Terminate();
+  EXPECT_EQ(waiting.Await().result(), http::status::gateway_timeout);  // no time is left for requests
+  fixture.io.run_for(std::chrono::milliseconds(600));  // longer than the process takes to exit
+  EXPECT_FALSE(old.process->HasExited());
+  host.WriteRaw(std::string(kBodyBytes / 2, 'x'));
+  EXPECT_EQ(reader.Await().body().size(), kBodyBytes);
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return old.process->HasExited(); }));
+  EXPECT_EQ(old.process->Wait(), 0);
+  EXPECT_EQ(fixture.Request(reader, "two", 2), "two");
+}
+
 // If an operator drains the old process while both processes run, the old process must fail its health check,
 // although the new process is ready.
 TEST(HotRestart, OldProcessFailsItsHealthCheckWhileDraining) {
--- /dev/null
+++ b/tests/proxy/stop_test.cpp
@@ -0,0 +1,104 @@
+// Tests of the end of a process: which requests and responses it completes after SIGTERM.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace gateway::proxy::testing {
+namespace {
+
+constexpr std::size_t kLongBodyBytes = 200000;
+// Longer than the gateway takes to stop after its last response.
+constexpr std::chrono::milliseconds kObservationTime{600};
+
+std::string LongResponseHead() {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLongBodyBytes) + "\r\n\r\n";
+}
+
+// A gateway that stops while a host sends a long response, and a second request whose response shows that the
+// time for requests without a response is over.
+struct StopDuringResponse {
+  StopDuringResponse() {
+    reader->Send(ApiCall("long", "pay"));
+    EXPECT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
+    HostConnection().WriteRaw(LongResponseHead() + std::string(kLongBodyBytes / 2, 'x'));
+    EXPECT_TRUE(harness.Until([&] { return HostConnection().completed_writes == 1; }));
+    waiting->Send(ApiCall("pending", "pay"));
+    EXPECT_TRUE(harness.Until([&] { return harness.host().requests.size() == 2; }));
+    harness.gateway->Stop([this] { stopped = true; });
+  }
+  FakeServer::Connection& HostConnection() { return *harness.host().requests[0].connection; }
+
+  GatewayHarness harness;
+  bool stopped = false;  // the program would exit now
+  const std::unique_ptr<Client> reader = harness.Connect();
+  const std::unique_ptr<Client> waiting = harness.Connect();
+};
+
+// A response that a host still sends when the time for requests is over must not be cut off: the client has
+// waited for it since before SIGTERM. The process must exit soon after the response.
+TEST(GatewayStop, WritesAResponseThatHasBegunCompletely) {
+  StopDuringResponse test;
+  EXPECT_EQ(test.waiting->Await().result(), http::status::gateway_timeout);
+  test.harness.io.run_for(kObservationTime);
+  EXPECT_FALSE(test.stopped);
+  test.HostConnection().WriteRaw(std::string(kLongBodyBytes / 2, 'x'));
+  EXPECT_EQ(test.reader->Await().body().size(), kLongBodyBytes);
+  EXPECT_TRUE(test.harness.Until([&] { return test.stopped; }));
+}
+
+// A long response must not hold up the stop after its host or its client has ended it.
+TEST(GatewayStop, EndsWhenTheHostOrTheClientOfTheLastResponseDisconnects) {
+  for (const bool host_disconnects : {true, false}) {
+    SCOPED_TRACE(host_disconnects ? "host" : "client");
+    StopDuringResponse test;
+    EXPECT_EQ(test.waiting->Await().result(), http::status::gateway_timeout);
+    if (host_disconnects) {
+      test.HostConnection().Reset();
+    } else {
+      test.reader->Disconnect();
+      test.HostConnection().WriteRaw(std::string(kLongBodyBytes / 4, 'x'));  // the write to the client fails
+    }
+    EXPECT_TRUE(test.harness.Until([&] { return test.stopped; }));
+  }
+}
+
+// While a long response holds up the stop, a pipelined request could still reach a host. SIGKILL may come
+// before its response, which would lose the request. The gateway must reject it at once.
+TEST(GatewayStop, RejectsRequestsThatArriveDuringTheLastResponses) {
+  StopDuringResponse test;
+  test.waiting->Send(ApiCall("pipelined", "pay"));
+  EXPECT_EQ(test.waiting->Await(1).result(), http::status::gateway_timeout);
+  EXPECT_EQ(test.waiting->Await(2).result(), http::status::service_unavailable);
+  EXPECT_EQ(test.harness.host().requests.size(), 2u);
+  EXPECT_FALSE(test.stopped);
+}
+
+// A client that still sends its body when the time for requests is over could lose the response: a close with
+// unread bytes resets the connection. The gateway must read on until the client has finished.
+TEST(GatewayStop, ClientThatStillSendsItsBodyReceivesTheResponse) {
+  GatewayHarness harness;
+  const auto client = harness.Connect();
+  const std::string body(10 * kLongBodyBytes, 'x');
+  const std::string request = ApiCall("upload", "pay", "20000m", body);
+  client->Send(request.substr(0, kLongBodyBytes));
+  ASSERT_TRUE(harness.Until([&] { return harness.host().connections.size() == 1; }));
+  bool stopped = false;
+  harness.gateway->Stop([&] { stopped = true; });
+  std::size_t sent = kLongBodyBytes;
+  constexpr std::size_t kPieceBytes = 2000;
+  const auto send_piece = [&] {
+    if (sent + kPieceBytes < request.size()) client->Send(request.substr(sent, kPieceBytes));
+    sent += kPieceBytes;
+    harness.io.run_for(std::chrono::milliseconds(30));
+  };
+  while (client->responses().empty() && sent < request.size()) send_piece();
+  ASSERT_EQ(client->responses().size(), 1u);
+  for (int i = 0; i < 20; ++i) send_piece();  // for longer than the gateway takes to stop
+  EXPECT_FALSE(stopped);
+  EXPECT_FALSE(client->write_failed());
+  client->Disconnect();
+  EXPECT_TRUE(harness.Until([&] { return stopped; }));
+}
+
+}  // namespace
+}  // namespace gateway::proxy::testing
