Answer streamed requests within their client's time if the host stops reading

Hosts that hung and went on ran bookings after their clients' time.

Cause: a client's time counts from its last byte, but the gateway counted it from its own read of that byte. While a host does not read, the gateway does not read either, and the byte stays in the socket buffers, so that no deadline applied but 5 s for each part that the host reads.

Change: BodyArrival keeps the earliest time at which the client can have sent its last byte: the latest time at which the body was known to be incomplete (empty receive buffer, or more missing than a send buffer holds). Related: the last byte is not sent to a host after the client's time; a streamed attempt reports the time that the client has left, also in a retry; an upload that a stop ends gets 503 (was 504), and its attempt ends.

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -160,7 +160,7 @@
       return RespondWithError(*error);
     }
   }
-  reader_.ReadBody(request_started_at_);
+  reader_.ReadBody(request_started_at_, reader_.may_stream() ? Now() - TimeInKernelQueues() : Now());
 }
 
 std::optional<RequestError> ClientConnection::ValidateRequest(const HttpRequest& head) {
@@ -186,7 +186,7 @@
   ClientRequest request;
   static_cast<RequestAttributes&>(request) = std::move(attributes_);
   request.http = reader_.ReleaseRequest();
-  request.received_at = Now() - TimeInKernelQueues();
+  request.received_at = reader_.in_body() ? reader_.EarliestCompletion() : Now() - TimeInKernelQueues();
   request.responder = ClientResponder(weak_from_this(), ++request_number_);
   request_id_ = request.id;
   class_name_ = request.class_name;
@@ -204,7 +204,7 @@
 
 void ClientConnection::OnStreamedBodyComplete() {
   OnRequestComplete();
-  context_.callbacks.on_request_complete(request_id_, Now());
+  context_.callbacks.on_request_complete(request_id_, reader_.earliest_completion());
 }
 
 // Called when the dispatched request is complete, including its body.
@@ -257,6 +257,11 @@
   return true;
 }
 
+Millis ClientConnection::EarliestCompletion(std::uint64_t request_number) {
+  const bool incomplete = request_number_ == request_number && phase_ == Phase::kServing && reader_.in_body();
+  return incomplete ? reader_.EarliestCompletion() : reader_.earliest_completion();
+}
+
 // --- Timeouts
 
 void ClientConnection::CheckTimeouts(Millis now) {
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -114,6 +114,7 @@
   void Respond(std::uint64_t request_number, HttpResponse response,
                std::shared_ptr<BodySource> remaining_body);
   bool DetectDisconnect(std::uint64_t request_number);
+  Millis EarliestCompletion(std::uint64_t request_number);
 
   // BodySource: the rest of the current request's body.
   void ReadNext(PieceHandler handler) override { reader_.ReadNextPiece(std::move(handler)); }
--- a/src/proxy/client/client_request.cpp
+++ b/src/proxy/client/client_request.cpp
@@ -19,4 +19,9 @@
   return !connection || connection->DetectDisconnect(request_number_);
 }
 
+Millis ClientResponder::EarliestCompletion() const {
+  const auto connection = connection_.lock();
+  return connection ? connection->EarliestCompletion(request_number_) : Now();
+}
+
 }  // namespace gateway::proxy
--- a/src/proxy/client/client_request.hpp
+++ b/src/proxy/client/client_request.hpp
@@ -35,6 +35,10 @@
   // returned.
   bool ClientDisconnected() const;
 
+  // Returns the earliest time at which the client can have sent the last byte of the request, by what was
+  // observed until now. To be called while the request is incomplete.
+  Millis EarliestCompletion() const;
+
  private:
   std::weak_ptr<ClientConnection> connection_;
   std::uint64_t request_number_ = 0;
@@ -43,7 +47,8 @@
 // A valid request. If `remaining_body` is null, the body in `http` is complete.
 struct ClientRequest : RequestAttributes {
   HttpRequest http;
-  // The time at which the last byte of `http` arrived at this machine. The gateway may have read it later.
+  // The time at which the last byte of the request arrived at this machine. The gateway may have read it
+  // later. If the request is incomplete: the earliest time at which the client can have sent its last byte.
   Millis received_at = 0;
   std::shared_ptr<BodySource> remaining_body;
   ClientResponder responder;
@@ -57,9 +62,10 @@
   // Called when a valid request has arrived. The gateway must respond to the request exactly once, unless
   // on_disconnect is called first.
   std::function<void(ClientRequest request)> on_request;
-  // Called when the last byte of a request with a remaining body was read, at `received_at`. Called before
-  // the body's source delivers the last piece.
-  std::function<void(const std::string& request_id, Millis received_at)> on_request_complete;
+  // Called when the last byte of a request with a remaining body was read. `completed_at` is the earliest
+  // time at which the client can have sent that byte. Called before the body's source delivers the last
+  // piece.
+  std::function<void(const std::string& request_id, Millis completed_at)> on_request_complete;
   // Called when the client has disconnected, or has sent the body too slowly, before a response was sent. The
   // ClientServer discards a later response.
   std::function<void(const std::string& request_id)> on_disconnect;
--- a/src/proxy/client/request_reader.cpp
+++ b/src/proxy/client/request_reader.cpp
@@ -11,6 +11,8 @@
 #include <cerrno>
 #include <string_view>
 
+#include "proxy/client/accept_queue.hpp"
+
 namespace gateway::proxy {
 namespace {
 
@@ -69,9 +71,17 @@
   return {parser_->chunked(), parser_->content_length().value_or(0)};
 }
 
-void RequestReader::ReadBody(Millis request_started_at) {
+bool RequestReader::may_stream() const {
+  return parser_->chunked() || parser_->content_length().value_or(0) > kSmallPieceBytes;
+}
+
+void RequestReader::ReadBody(Millis request_started_at, Millis last_arrival_at) {
   in_body_ = true;
   progress_.Start(request_started_at, Now());
+  std::optional<std::uint64_t> length_bytes;
+  if (const auto content_length = parser_->content_length()) length_bytes = *content_length;
+  arrival_.Start(last_arrival_at, length_bytes);
+  parsed_bytes_ = 0;
   const bool awaits_continue = !done() && request_.count(http::field::expect) > 0 && request_.version() >= 11;
   awaits_continue ? SendContinue() : ReadPiece();
 }
@@ -109,16 +119,47 @@
     return asio::post(io_, [this, connection = delegate_.KeepAlive()] { OnPiece({}, 0); });
   }
   progress_.BeginWait(Now());
+  ObserveArrival();
   piece_.resize(kBodyPieceBytes);
   buffer_.reserve(std::max<std::size_t>(buffer_.size(), streaming ? kBodyPieceBytes : kSmallPieceBytes));
   auto& body = parser_->get().body();
   body.data = piece_.data();
   body.size = piece_.size();
-  http::async_read_some(socket_, buffer_, *parser_,
-                        [this, connection = delegate_.KeepAlive()](error_code error, std::size_t) {
-                          if (error == http::error::need_buffer) error = {};
-                          OnPiece(error, kBodyPieceBytes - parser_->get().body().size);
-                        });
+  http::async_read_some(
+      socket_, buffer_, *parser_,
+      [this, connection = delegate_.KeepAlive()](error_code error, std::size_t parsed_bytes) {
+        OnPieceRead(error, parsed_bytes);
+      });
+}
+
+void RequestReader::ObserveArrival() {
+  if (!may_stream()) return;
+  error_code error;
+  const std::size_t unread_bytes = socket_.available(error);
+  receive_buffer_empty_ = !error && unread_bytes == 0;
+  buffered_bytes_ = buffer_.size();
+  arrival_.RecordArrived(Now(), parsed_bytes_ + buffered_bytes_ + unread_bytes);
+}
+
+void RequestReader::OnPieceRead(error_code error, std::size_t parsed_bytes) {
+  parsed_bytes_ += parsed_bytes;
+  const bool bytes_arrived = parsed_bytes + buffer_.size() > buffered_bytes_;
+  if (std::exchange(receive_buffer_empty_, false) && bytes_arrived) {
+    arrival_.RecordWait(Now() - TimeSinceLastReceived(socket_.native_handle()).value_or(0));
+  }
+  if (error == http::error::need_buffer) error = {};
+  OnPiece(error, kBodyPieceBytes - parser_->get().body().size);
+}
+
+// If all bytes that have arrived were parsed, the rest of the body is missing. The same holds if a read is
+// pending and the receive buffer is empty.
+Millis RequestReader::EarliestCompletion() {
+  error_code error;
+  const std::size_t unread_bytes = socket_.available(error);
+  if (error) return arrival_.earliest_completion();
+  arrival_.RecordArrived(Now(), parsed_bytes_ + buffer_.size() + unread_bytes);
+  if (unread_bytes == 0 && (buffer_.size() == 0 || progress_.waiting())) arrival_.RecordWait(Now());
+  return arrival_.earliest_completion();
 }
 
 void RequestReader::OnPiece(error_code error, std::size_t received_bytes) {
--- a/src/proxy/client/request_reader.hpp
+++ b/src/proxy/client/request_reader.hpp
@@ -9,12 +9,14 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "proxy/body_source.hpp"
 #include "proxy/buffer_budget.hpp"
+#include "proxy/client/body_arrival.hpp"
 #include "proxy/client/body_progress.hpp"
 #include "proxy/client/request_validation.hpp"
 #include "proxy/clock.hpp"
@@ -52,8 +54,9 @@
   // Begins to read the next request.
   void ReadHead();
   // Reads the body of the request after OnRequestHead. `request_started_at` is the time at which the first
-  // byte of the request arrived, or an earlier time.
-  void ReadBody(Millis request_started_at);
+  // byte of the request arrived, or an earlier time. `last_arrival_at` is the time at which the last bytes
+  // arrived before the gateway read the head; it is used only if may_stream().
+  void ReadBody(Millis request_started_at, Millis last_arrival_at);
   // Reads the next piece of a streamed body, see BodySource::ReadNext. May be called only while the request
   // is incomplete.
   void ReadNextPiece(BodySource::PieceHandler handler);
@@ -70,6 +73,8 @@
   bool keep_alive() const { return parser_->keep_alive(); }
   // Whether the complete request has been parsed.
   bool done() const { return parser_->is_done(); }
+  // Whether the body may be streamed: it is chunked, or longer than the part that is always buffered.
+  bool may_stream() const;
   // Whether the head has been read and the body is incomplete.
   bool in_body() const { return in_body_; }
   // Whether ReadNextPiece was called for the current body.
@@ -83,6 +88,12 @@
   // past the current request if the body of the request is complete.
   bool DetectDisconnect();
 
+  // Returns the earliest time at which the client can have sent the last byte of the body, by what was
+  // observed until now. To be called only for a body that is streamed.
+  Millis EarliestCompletion();
+  // As EarliestCompletion, by what was observed until the last read.
+  Millis earliest_completion() const { return arrival_.earliest_completion(); }
+
   // Returns whether the client sends the body too slowly.
   bool BodyTimedOut(Millis now) const { return progress_.TimedOut(now); }
   // Records whether more of a head has arrived since the last call. Called at regular intervals.
@@ -99,6 +110,8 @@
  private:
   void SendContinue();
   void ReadPiece();
+  void ObserveArrival();
+  void OnPieceRead(boost::system::error_code error, std::size_t parsed_bytes);
   void OnPiece(boost::system::error_code error, std::size_t received_bytes);
   void StreamPiece(std::size_t received_bytes, bool last);
   void BufferPiece(std::size_t received_bytes, bool last);
@@ -113,6 +126,10 @@
   std::vector<char> piece_;
   BodySource::PieceHandler piece_handler_;  // handler of the pending ReadNextPiece; empty if there is none
   BodyProgress progress_;
+  BodyArrival arrival_;
+  std::uint64_t parsed_bytes_ = 0;     // bytes of the body that were parsed, including its framing
+  std::size_t buffered_bytes_ = 0;     // size of the buffer when the pending read began
+  bool receive_buffer_empty_ = false;  // whether the socket had no unread bytes when the pending read began
   bool stopped_ = false;
   bool in_body_ = false;
   bool streaming_started_ = false;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -157,8 +157,8 @@
   ClientCallbacks callbacks;
   callbacks.is_ready = [this] { return PassesReadinessCheck(); };
   callbacks.on_request = [this](ClientRequest request) { requests_.OnRequest(std::move(request)); };
-  callbacks.on_request_complete = [this](const std::string& id, Millis received_at) {
-    requests_.OnRequestComplete(id, received_at);
+  callbacks.on_request_complete = [this](const std::string& id, Millis completed_at) {
+    requests_.OnRequestComplete(id, completed_at);
   };
   callbacks.on_disconnect = [this](const std::string& id) { requests_.OnClientDisconnected(id); };
   callbacks.on_response_end = [this](const std::string& class_name, unsigned status, bool complete) {
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -19,6 +19,9 @@
 // If a request has no response yet, the forwarder responds with 504 this long before the client's timeout.
 constexpr Millis kTimeoutMarginMs = 4;
 constexpr Millis kMaxUploadMs = 1200000;  // longer than the largest body takes at kMinBodyBytesPerMs
+// The Retry-After in responses to requests that no endpoint can have executed, unless the maximum in the
+// settings is lower.
+constexpr Millis kRetryAfterMs = 500;
 const char* const kLoadReportField = "Srv-Load";
 
 void StripUpstreamFields(HttpResponse& response) {
@@ -55,28 +58,43 @@
   active.class_name = request.class_name;
   active.received_at = request.received_at;
   const Millis client_timeout_at = request.received_at + request.time_allowed;
-  active.respond_by = client_timeout_at - kResponseMarginMs;
-  if (active.complete) SetDeadline(request.id, active, client_timeout_at);
+  SetDeadline(request.id, active, client_timeout_at);
   return active;
 }
 
+// The client of an incomplete request may have sent all of it, because the gateway does not read while the
+// endpoint does not read. Its deadline applies for this reason, until more of the body is known to be
+// missing.
 void RequestForwarder::SetDeadline(const std::string& id, ActiveRequest& active, Millis client_timeout_at) {
   active.respond_by = client_timeout_at - kResponseMarginMs;
   active.timeout_timer.expires_after(TimerDuration(client_timeout_at - kTimeoutMarginMs - Now()));
   active.timeout_timer.async_wait([this, id](boost::system::error_code ec) {
-    if (!ec) TimeOut(id);
+    if (!ec) OnDeadline(id);
   });
 }
 
+void RequestForwarder::OnDeadline(const std::string& id) {
+  ActiveRequest* const active = FindRequest(id);
+  if (active == nullptr || active->complete) return TimeOut(id);
+  const Millis client_timeout_at = active->responder.EarliestCompletion() + active->time_allowed;
+  if (client_timeout_at - kResponseMarginMs <= Now()) return TimeOut(id);
+  SetDeadline(id, *active, client_timeout_at);
+}
+
 // The deadline of the request and the timeouts of its attempts count from `completed_at`, because an endpoint
-// cannot execute an incomplete request.
+// cannot execute an incomplete request. The latency of an attempt counts from now: before that, the endpoint
+// did not have the request.
 void RequestForwarder::OnRequestComplete(const std::string& id, Millis completed_at) {
   ActiveRequest* const active = FindRequest(id);
-  if (active == nullptr || std::exchange(active->complete, true)) return;
-  SetDeadline(id, *active, completed_at + active->time_allowed);
+  if (active == nullptr || active->complete) return;
+  const Millis client_timeout_at = completed_at + active->time_allowed;
+  // An endpoint must not execute a request whose response can't arrive in time.
+  if (client_timeout_at - kResponseMarginMs <= Now()) return TimeOut(id);
+  active->complete = true;
+  SetDeadline(id, *active, client_timeout_at);
   for (Attempt& attempt : active->attempts) {
     if (!attempt.in_flight) continue;
-    attempt.sent_at = completed_at;
+    attempt.sent_at = Now();
     upstream_.SetDeadline(attempt.id, std::min(completed_at + attempt.timeout, active->respond_by));
   }
   driver_.Report(policy::RequestComplete{id, active->respond_by - Now()});
@@ -128,11 +146,16 @@
   driver_.Report(policy::ClientDisconnected{id});
   const ActiveRequest* const remaining = FindRequest(id);
   if (remaining == nullptr) return;
-  std::vector<AttemptId> in_flight;  // CancelUnsent may erase the request
-  for (const Attempt& attempt : remaining->attempts) {
-    if (attempt.in_flight) in_flight.push_back(attempt.id);
+  for (const AttemptId attempt : InFlight(*remaining)) upstream_.CancelUnsent(attempt);
+}
+
+// Returns a copy, because the request may be erased while its attempts are ended.
+std::vector<AttemptId> RequestForwarder::InFlight(const ActiveRequest& active) {
+  std::vector<AttemptId> attempts;
+  for (const Attempt& attempt : active.attempts) {
+    if (attempt.in_flight) attempts.push_back(attempt.id);
   }
-  for (const AttemptId attempt : in_flight) upstream_.CancelUnsent(attempt);
+  return attempts;
 }
 
 bool RequestForwarder::IsAwaited(const std::string& id) {
@@ -143,15 +166,34 @@
   return false;
 }
 
-// Responds with 504. Normally the policy responds before this timeout. The timeout applies if the policy's
-// timers fire late.
+// Responds to a request that has no response. For a complete request, the policy normally responds before
+// this timeout; the timeout applies if the policy's timers fire late. For an incomplete request, the policy
+// responds when the attempts end.
 void RequestForwarder::TimeOut(const std::string& id) {
+  EndIncompleteAttempts(id);
   ActiveRequest* const active = FindRequest(id);
   if (active == nullptr || active->responded) return;
-  Respond(*active, HttpResponse(http::status::gateway_timeout, kHttpVersion));
+  Respond(*active, MakeTimeoutResponse(*active));
   driver_.Report(policy::ClientDisconnected{id});
 }
 
+// Ends the attempts of an incomplete request, which the endpoints can't have executed.
+void RequestForwarder::EndIncompleteAttempts(const std::string& id) {
+  const ActiveRequest* const active = FindRequest(id);
+  if (active == nullptr || active->complete || active->responded) return;
+  for (const AttemptId attempt : InFlight(*active)) upstream_.TimeOut(attempt);
+}
+
+HttpResponse RequestForwarder::MakeTimeoutResponse(const ActiveRequest& active) const {
+  if (active.complete) return HttpResponse(http::status::gateway_timeout, kHttpVersion);
+  HttpResponse response(http::status::service_unavailable, kHttpVersion);
+  if (settings_.send_retry_after) {
+    response.set(http::field::retry_after,
+                 FormatSeconds(std::min(kRetryAfterMs, settings_.maximum_retry_after)));
+  }
+  return response;
+}
+
 void RequestForwarder::TimeOutAll() {
   std::vector<std::string> ids;
   for (const auto& [id, active] : requests_) ids.push_back(id);
@@ -194,7 +236,8 @@
   UpstreamRequest request;
   request.request = active.http;
   if (!active.complete) request.remaining_body = active.remaining_body;
-  request.deadline = active.complete ? std::min(now + timeout, active.respond_by) : now + kMaxUploadMs;
+  request.reported_deadline = std::min(now + timeout, active.respond_by);
+  request.deadline = active.complete ? request.reported_deadline : now + kMaxUploadMs;
   request.may_send = [this, id = send.request, send_by = now + send.start_writing_within] {
     return Now() <= send_by && IsAwaited(id);
   };
--- a/src/proxy/request_forwarder.hpp
+++ b/src/proxy/request_forwarder.hpp
@@ -34,13 +34,13 @@
 
   // Begins to handle a request. If an active request has the same ID, responds with 409.
   void OnRequest(ClientRequest request);
-  // Handles the end of a request body whose last byte was read at `completed_at`. Called only for a request
-  // that was passed to OnRequest before the body was complete.
+  // Handles the end of a request body. `completed_at` is the earliest time at which the client can have sent
+  // the last byte. Called only for a request that was passed to OnRequest before the body was complete.
   void OnRequestComplete(const std::string& id, Millis completed_at);
   // Handles the disconnect of the client of a request.
   void OnClientDisconnected(const std::string& id);
 
-  // Responds with 504 to all requests that have no response yet.
+  // Responds to all requests that have no response yet: with 504, or with 503 if the request is incomplete.
   void TimeOutAll();
 
   // The number of requests whose client disconnected before the response, since the start of the process.
@@ -69,7 +69,7 @@
     bool complete = true;
     std::string class_name;
     Millis received_at = 0;
-    Millis time_allowed = 0;       // how long the client waits, counted from when the request was complete
+    Millis time_allowed = 0;       // how long the client waits, counted from when it has sent the last byte
     bool handling_arrival = true;  // the policy has not handled the arrival event yet
     ClientResponder responder;
     Millis respond_by = 0;  // time by which the policy must respond
@@ -81,7 +81,11 @@
   ActiveRequest* FindRequest(const std::string& id);
   ActiveRequest& AddRequest(ClientRequest& request);
   void SetDeadline(const std::string& id, ActiveRequest& active, Millis client_timeout_at);
+  void OnDeadline(const std::string& id);
   void TimeOut(const std::string& id);
+  void EndIncompleteAttempts(const std::string& id);
+  static std::vector<AttemptId> InFlight(const ActiveRequest& active);
+  HttpResponse MakeTimeoutResponse(const ActiveRequest& active) const;
   // Returns whether the client still waits for the response. Checks the client's socket, and handles a
   // disconnect that was not reported yet.
   bool IsAwaited(const std::string& id);
--- a/src/proxy/upstream/request_writer.cpp
+++ b/src/proxy/upstream/request_writer.cpp
@@ -39,11 +39,12 @@
 }
 
 void RequestWriter::WriteStreamed(std::shared_ptr<const HttpRequest> request,
-                                  std::shared_ptr<BodySource> remaining_body) {
+                                  std::shared_ptr<BodySource> remaining_body, Millis deadline) {
   active_ = true;
   last_part_started_ = false;
   remaining_body_ = std::move(remaining_body);
   PrepareHead(*request);
+  head_and_body_.set("Req-Deadline", RemainingTime(deadline));
   const bool chunked = !head_and_body_.has_content_length();
   if (chunked) head_and_body_.chunked(true);
   delegate_.OnWaitForEndpoint();
--- a/src/proxy/upstream/request_writer.hpp
+++ b/src/proxy/upstream/request_writer.hpp
@@ -46,9 +46,10 @@
 
   // Writes a complete request. Sets the value of Req-Deadline to the remaining time until `deadline`.
   void Write(const HttpRequest& request, Millis deadline);
-  // Writes a request with a streamed body: the part in `request`, followed by `remaining_body`. Keeps the
-  // client's Req-Deadline, because a deadline counts from the last byte of the request.
-  void WriteStreamed(std::shared_ptr<const HttpRequest> request, std::shared_ptr<BodySource> remaining_body);
+  // Writes a request with a streamed body: the part in `request`, followed by `remaining_body`. Sets the
+  // value of Req-Deadline as Write does: the client may have sent the complete request already.
+  void WriteStreamed(std::shared_ptr<const HttpRequest> request, std::shared_ptr<BodySource> remaining_body,
+                     Millis deadline);
   // Stops the calls to the delegate. The buffers of a pending write stay valid until the write has completed.
   void Stop();
   // Frees the memory of a request that was written completely.
--- a/src/proxy/upstream/upstream_connection.cpp
+++ b/src/proxy/upstream/upstream_connection.cpp
@@ -138,7 +138,10 @@
 
 void UpstreamConnection::OnTimer() {
   if (Now() < timer_due_ - kTimerToleranceMs) return;
-  if (!attempt_) return CloseIdle();
+  attempt_ ? TimeOut() : CloseIdle();
+}
+
+void UpstreamConnection::TimeOut() {
   EndAttempt(request_sent_ ? AttemptResult::kTimedOut : AttemptResult::kConnectFailed);
 }
 
@@ -153,7 +156,7 @@
 void UpstreamConnection::SendRequest() {
   const UpstreamRequest& request = attempt_->request;
   if (request.remaining_body) {
-    writer_.WriteStreamed(request.request, request.remaining_body);
+    writer_.WriteStreamed(request.request, request.remaining_body, request.reported_deadline);
   } else {
     writer_.Write(*request.request, request.deadline);
   }
--- a/src/proxy/upstream/upstream_connection.hpp
+++ b/src/proxy/upstream/upstream_connection.hpp
@@ -90,6 +90,8 @@
   void Send(AttemptId id, UpstreamRequest request);
   // Changes the deadline of the current attempt.
   void SetDeadline(Millis deadline);
+  // Closes the connection, and ends the current attempt because its time is over.
+  void TimeOut();
   // Closes the connection. If there is a current attempt, ends it with `result`.
   void EndAttempt(policy::AttemptResult result);
   // Closes the connection. Must not be called while the connection serves an attempt. Has no effect on a
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -115,6 +115,10 @@
   if (connection && connection->connecting()) connection->EndAttempt(AttemptResult::kNotSent);
 }
 
+void UpstreamPool::TimeOut(AttemptId attempt) {
+  if (const auto connection = FindConnection(attempt)) connection->TimeOut();
+}
+
 void UpstreamPool::Cancel(AttemptId attempt) {
   if (const auto connection = FindConnection(attempt)) connection->EndAttempt(AttemptResult::kCancelled);
 }
--- a/src/proxy/upstream/upstream_pool.hpp
+++ b/src/proxy/upstream/upstream_pool.hpp
@@ -49,6 +49,8 @@
   // If the attempt's connection is still being established, ends the attempt with kNotSent. Otherwise has no
   // effect.
   void CancelUnsent(AttemptId attempt);
+  // Ends an attempt as if its deadline had passed. Has no effect if the attempt has ended.
+  void TimeOut(AttemptId attempt);
   // Ends an attempt with kCancelled, and closes its connection. Has no effect if the attempt has ended.
   void Cancel(AttemptId attempt);
 
--- a/src/proxy/upstream/upstream_request.hpp
+++ b/src/proxy/upstream/upstream_request.hpp
@@ -26,6 +26,9 @@
   std::shared_ptr<BodySource> remaining_body;
   // If the response has not arrived by this time on the clock of Now(), the attempt ends with kTimedOut.
   Millis deadline = 0;
+  // If there is a remaining body: the time that Req-Deadline reports to the endpoint instead of `deadline`.
+  // By this time the client needs its response if it has sent the complete request already.
+  Millis reported_deadline = 0;
   // Called when a new connection was established. Returns whether the request should still be sent. If not,
   // the attempt ends with kNotSent. The callback may cancel the attempt, and must then return false.
   std::function<bool()> may_send;
--- a/tests/proxy/bodies_test.cpp
+++ b/tests/proxy/bodies_test.cpp
@@ -2,6 +2,8 @@
 // failures.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "world.hpp"
 
 namespace gateway::proxy::testing {
@@ -45,6 +47,8 @@
     asio::async_write(state_->socket, asio::buffer(*data),
                       [data, state = state_](error_code ec, std::size_t) { state->completed_writes += !ec; });
   }
+  // Writes a text that fits into the socket buffers, without running the event loop.
+  void SendNow(const std::string& text) { asio::write(state_->socket, asio::buffer(text)); }
   void Read() {
     state_->socket.async_read_some(asio::buffer(state_->piece),
                                    [this, state = state_](error_code ec, std::size_t received_bytes) {
@@ -372,6 +376,106 @@
   EXPECT_EQ(client->Await().result_int(), 503u);
 }
 
+// The time for which a client waits counts from when it has sent its last byte. While a host does not read,
+// the gateway does not read either, and the last byte stays in the socket buffers. The client must still
+// receive its response in time, and the host must not execute the request later.
+TEST(BodyForwarding, RequestFailsWith503InTheClientsTimeIfTheHostStopsReading) {
+  constexpr std::chrono::milliseconds kLatestResponse{1500 + 500};  // the client's time, and 500 ms
+  // More than the buffers to a host hold that does not read, less than the buffers of the client hold.
+  const std::string body = MakeBody(7000000);
+  for (const bool chunked : {false, true}) {
+    SCOPED_TRACE(chunked ? "chunked" : "Content-Length");
+    GatewayHarness harness;
+    harness.host().never_reads = true;
+    const auto client = harness.Connect();
+    client->Send(chunked ? "POST /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: pay\r\nReq-Deadline: 1500m\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n" +
+                               EncodeChunked(body, 30011)
+                         : ApiCall("r1", "pay", "1500m", body));
+    const auto sent_at = std::chrono::steady_clock::now();
+    EXPECT_EQ(client->Await().result_int(), 503u);
+    EXPECT_LT(std::chrono::steady_clock::now() - sent_at, kLatestResponse);
+    EXPECT_FALSE(client->Await()["Retry-After"].empty());
+    harness.host().connections[0]->ReadRequests();
+    EXPECT_TRUE(harness.Until([&] { return harness.host().connections[0]->closed_by_gateway; }));
+    EXPECT_TRUE(harness.host().requests.empty());
+  }
+}
+
+// A host may read a little from time to time. Each read must not extend the time in which the client receives
+// its response.
+TEST(BodyForwarding, RequestFailsInTheClientsTimeIfTheHostReadsSlowly) {
+  constexpr std::chrono::milliseconds kLatestResponse{1500 + 500};  // the client's time, and 500 ms
+  GatewayHarness harness;
+  harness.host().never_reads = true;
+  const auto client = harness.Connect();
+  client->Send(ApiCall("r1", "pay", "1500m", MakeBody(7000000)));
+  const auto sent_at = std::chrono::steady_clock::now();
+  std::vector<char> piece(100000);
+  EXPECT_TRUE(harness.Until([&] {
+    error_code ignored;
+    auto& connections = harness.host().connections;
+    if (!connections.empty() && connections[0]->socket.available(ignored) > 0) {
+      connections[0]->socket.read_some(asio::buffer(piece), ignored);
+    }
+    harness.io.run_for(std::chrono::milliseconds(100));
+    return !client->responses().empty();
+  }));
+  EXPECT_EQ(client->Await().result_int(), 503u);
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, kLatestResponse);
+}
+
+// A client that can't send the rest of its body, because the host does not read, has not begun to wait. Its
+// request must not fail before the host's time to read is over.
+TEST(BodyForwarding, TimeOfAClientThatCannotSendItsLastByteDoesNotRun) {
+  GatewayHarness harness;
+  harness.host().never_reads = true;
+  harness.host().serve = [](const FakeServer::ReceivedRequest& request) { request.Respond(200, "done"); };
+  RawClient client(harness);
+  client.Read();
+  client.Send(ApiCall("r1", "pay", "500m", MakeBody(32 * 1024 * 1024)));
+  harness.io.run_for(std::chrono::milliseconds(1500));
+  EXPECT_EQ(client.completed_writes(), 0);
+  EXPECT_EQ(client.text(), "");
+  harness.host().connections.at(0)->ReadRequests();
+  EXPECT_TRUE(client.Await("done"));
+}
+
+// A client that sends its body slowly has not begun to wait either.
+TEST(BodyForwarding, TimeOfAClientThatStillSendsDoesNotRun) {
+  GatewayHarness harness;
+  harness.host().serve = [](const FakeServer::ReceivedRequest& request) { request.Respond(200, "done"); };
+  const auto client = harness.Connect();
+  const std::string request = ApiCall("r1", "pay", "500m", MakeBody(200000));
+  constexpr std::size_t kPieceBytes = 10000;
+  for (std::size_t sent = 0; sent < request.size(); sent += kPieceBytes) {
+    client->Send(request.substr(sent, kPieceBytes));
+    harness.io.run_for(std::chrono::milliseconds(50));
+  }
+  EXPECT_EQ(client->Await().body(), "done");
+}
+
+// The complete request may have waited in the socket buffers. A host that is told the client's original
+// deadline would work for a client that has timed out.
+TEST(BodyForwarding, HostReceivesTheTimeThatTheClientHasLeftWithAStreamedRequest) {
+  GatewayHarness harness;
+  const auto client = harness.Connect();
+  client->Send(ApiCall("warm-up"));
+  ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
+  harness.host().requests[0].Respond(200, "");
+  client->Await();
+  const std::string request = ApiCall("r1", "pay", "5000m", MakeBody(100000));
+  RawClient other(harness);
+  harness.io.run_for(std::chrono::milliseconds(50));  // the gateway accepts the connection
+  other.SendNow(request);
+  constexpr std::chrono::milliseconds kGatewayDelay{400};
+  std::this_thread::sleep_for(kGatewayDelay);  // the gateway shares this thread, so it reads nothing
+  ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 2; }));
+  const std::string told(harness.host().requests[1].http["Req-Deadline"]);
+  EXPECT_LE(std::stod(told), 5000 - 400) << told;
+  EXPECT_GT(std::stod(told), 3000) << told;
+}
+
 // After an error response, the gateway discards further input for a limited time. Without this limit, a
 // client that keeps sending single bytes would occupy its connection forever.
 TEST(BodyForwarding, GatewayDiscardsInputForALimitedTimeAfterAnErrorResponse) {
--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -93,6 +93,7 @@
   };
   while (client->responses().empty() && sent < request.size()) send_piece();
   ASSERT_EQ(client->responses().size(), 1u);
+  EXPECT_EQ(client->Await().result(), http::status::service_unavailable);  // no host can have executed it
   for (int i = 0; i < 20; ++i) send_piece();  // for longer than the gateway takes to stop
   EXPECT_FALSE(stopped);
   EXPECT_FALSE(client->write_failed());
