Time out a response only if the client acknowledges nothing

Seen by callers: a client that reads a long response at 64 kB/s lost it after some 10 s (a trial with 32 MB).

Cause: the write timeout of 10 s counted for one write of 16 kB, but the kernel accepts data only when a third of its send buffer of up to 4 MB is free, every 20 s at this rate. Ruled out: the host (its write failed after the close), the client (it read every 0.1 s), the host connection's 30 s (the close came earlier).

Change: the 10 s count from the last acknowledged byte (SIOCOUTQ); where the system reports none, as before.

--- a/src/proxy/client/response_writer.cpp
+++ b/src/proxy/client/response_writer.cpp
@@ -1,8 +1,12 @@
 #include "proxy/client/response_writer.hpp"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstddef>
+#include <optional>
 #include <utility>
 
 #include "proxy/body_framing.hpp"
@@ -14,9 +18,17 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-// The time within which a write must complete. It completes when the client has read enough data.
+// The longest time without progress of a write.
 constexpr Millis kWriteTimeoutMs = 10000;
 
+// Returns the number of sent or buffered bytes that the peer has not acknowledged, or nothing if the system
+// does not report it.
+std::optional<int> UnacknowledgedBytes(int socket) {
+  int bytes = 0;
+  if (::ioctl(socket, SIOCOUTQ, &bytes) != 0) return std::nullopt;
+  return bytes;
+}
+
 }  // namespace
 
 void ResponseWriter::Write(HttpResponse response, std::shared_ptr<BodySource> remaining_body,
@@ -34,15 +46,21 @@
   if (remaining_body_) std::exchange(remaining_body_, nullptr)->Cancel();
 }
 
-bool ResponseWriter::TimedOut(Millis now) const {
-  return write_pending_ && now - write_started_at_ > kWriteTimeoutMs;
+// A pending write alone does not mean that the client does not read: the kernel accepts more data only after
+// the client has acknowledged a large part of the send buffer, which can be several megabytes.
+bool ResponseWriter::TimedOut(Millis now) {
+  if (!write_pending_) return false;
+  const int previous_bytes = unacknowledged_bytes_;
+  unacknowledged_bytes_ = UnacknowledgedBytes(socket_.native_handle()).value_or(previous_bytes);
+  if (unacknowledged_bytes_ != previous_bytes) progress_at_ = now;
+  return now - progress_at_ > kWriteTimeoutMs;
 }
 
 void ResponseWriter::WriteBuffered() {
   response_.keep_alive(keep_alive_);
   response_.prepare_payload();
   write_pending_ = true;
-  write_started_at_ = Now();
+  progress_at_ = Now();
   http::async_write(socket_, response_,
                     [this, connection = delegate_.KeepAlive()](error_code error, std::size_t) {
                       if (active_) Finish(error);
@@ -62,7 +80,7 @@
 
 void ResponseWriter::WritePiece(std::string_view piece, bool last) {
   write_pending_ = true;
-  write_started_at_ = Now();
+  progress_at_ = Now();
   const FramedPiece framed = FrameBodyPiece(frame_, piece, last, chunked_);
   asio::async_write(socket_, framed,
                     [this, last, connection = delegate_.KeepAlive()](error_code error, std::size_t) {
--- a/src/proxy/client/response_writer.hpp
+++ b/src/proxy/client/response_writer.hpp
@@ -50,8 +50,9 @@
   bool keep_alive() const { return keep_alive_; }
   // The status of the current response.
   unsigned status() const { return response_.result_int(); }
-  // Returns whether the pending write has exceeded the write timeout, because the client does not read.
-  bool TimedOut(Millis now) const;
+  // Returns whether the client does not read: a write is pending, and no more data was acknowledged for the
+  // duration of the write timeout. To be called at regular intervals.
+  bool TimedOut(Millis now);
   // Frees the memory of the response that was written.
   void Reset() { response_ = {}; }
 
@@ -68,13 +69,14 @@
   Delegate& delegate_;
   HttpResponse response_;
   std::shared_ptr<BodySource> remaining_body_;
-  std::string frame_;            // bytes to write before the current piece
-  bool active_ = false;          // a response is being written
-  bool write_pending_ = false;   // the kernel has not accepted all of the last write yet
-  Millis write_started_at_ = 0;  // start of the last write
-  bool keep_alive_ = true;       // the connection may stay open after the response
-  bool chunked_ = false;         // the body has chunked transfer coding
-  bool ends_by_close_ = false;   // neither Content-Length nor chunked coding delimits the body
+  std::string frame_;             // bytes to write before the current piece
+  bool active_ = false;           // a response is being written
+  bool write_pending_ = false;    // the kernel has not accepted all of the last write yet
+  Millis progress_at_ = 0;        // start of the last write, or the later time at which progress was observed
+  int unacknowledged_bytes_ = 0;  // at the last call of TimedOut
+  bool keep_alive_ = true;        // the connection may stay open after the response
+  bool chunked_ = false;          // the body has chunked transfer coding
+  bool ends_by_close_ = false;    // neither Content-Length nor chunked coding delimits the body
 };
 
 }  // namespace gateway::proxy
--- a/tests/proxy/bodies_test.cpp
+++ b/tests/proxy/bodies_test.cpp
@@ -49,6 +49,14 @@
   }
   // Writes a text that fits into the socket buffers, without running the event loop.
   void SendNow(const std::string& text) { asio::write(state_->socket, asio::buffer(text)); }
+  // Reads up to `limit_bytes` that have arrived.
+  void ReadNow(std::size_t limit_bytes) {
+    error_code error;
+    state_->socket.non_blocking(true, error);
+    const std::size_t received_bytes =
+        state_->socket.read_some(asio::buffer(state_->piece, limit_bytes), error);
+    state_->text.append(state_->piece.data(), received_bytes);
+  }
   void Read() {
     state_->socket.async_read_some(asio::buffer(state_->piece),
                                    [this, state = state_](error_code ec, std::size_t received_bytes) {
@@ -130,6 +138,28 @@
   EXPECT_TRUE(slow.text().ends_with(body));
 }
 
+// A client may read a long response at 64 kB/s. The kernel then accepts more data only every 20 s or so, when
+// a third of its send buffer is free. The gateway must not take this for a client that does not read.
+TEST(BodyForwarding, ClientThatReadsSlowlyReceivesTheCompleteResponse) {
+  constexpr std::size_t kBytesPerStep = 6400;
+  constexpr std::chrono::milliseconds kStep{100};
+  constexpr int kSteps = 130;  // 13 s, longer than the write timeout of 10 s
+  GatewayHarness harness;
+  const std::string body = MakeBody(32 * 1024 * 1024);
+  RawClient slow(harness);
+  slow.Send(ApiCall("r1"));
+  ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
+  harness.host().requests[0].connection->WriteRaw(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  for (int step = 0; step < kSteps; ++step) {
+    harness.io.run_for(kStep);
+    slow.ReadNow(kBytesPerStep);
+  }
+  slow.Read();
+  ASSERT_TRUE(RunUntil(harness.io, [&] { return slow.text().size() > body.size() || slow.reset(); }));
+  EXPECT_TRUE(slow.text().ends_with(body));
+}
+
 // A client may need the first bytes of a long response early. The gateway must forward these bytes before the
 // rest of the response has arrived.
 TEST(BodyForwarding, FirstBytesOfAResponseAreForwardedBeforeTheRestArrives) {
