Hot restart: keep the message that follows Hello

Cause: SuccessorAcceptor passes its channel on in a posted call. Until that ran, the channel delivered further messages to the acceptor, which dropped them; SuccessorReady of a fast successor was among them.

Change: the channel pauses after the first message, and the next observer receives the rest.

--- a/src/proxy/restart/hot_restart_channel.cpp
+++ b/src/proxy/restart/hot_restart_channel.cpp
@@ -22,12 +22,12 @@
 HotRestartChannel::~HotRestartChannel() { *alive_ = false; }
 
 void HotRestartChannel::SetObserver(Observer& observer) {
-  const bool is_first = observer_ == nullptr;
   observer_ = &observer;
-  if (is_first && open_) Receive();
+  if (!receiving_ && open_) Receive();
 }
 
 void HotRestartChannel::Receive() {
+  receiving_ = true;
   socket_.async_wait(asio::posix::stream_descriptor::wait_read, [this, alive = alive_](error_code ec) {
     if (!*alive || !open_) return;
     while (!ec) {
@@ -36,7 +36,7 @@
       if (result == ReceiveResult::kNothingYet) return Receive();
       if (result == ReceiveResult::kEnded) break;
       observer_->OnMessage(*this, DecodeMessage(std::move(packet)));
-      if (!*alive || !open_) return;
+      if (!*alive || !open_ || !receiving_) return;
     }
     Close();
   });
--- a/src/proxy/restart/hot_restart_channel.hpp
+++ b/src/proxy/restart/hot_restart_channel.hpp
@@ -33,9 +33,12 @@
   HotRestartChannel(const HotRestartChannel&) = delete;
   HotRestartChannel& operator=(const HotRestartChannel&) = delete;
 
-  // The first call begins to receive messages. A later call replaces the observer. An observer must outlive
-  // the channel unless it is replaced.
+  // The first call begins to receive messages. A later call replaces the observer, and resumes receiving. An
+  // observer must outlive the channel unless it is replaced.
   void SetObserver(Observer& observer);
+  // Calls the observer no more until SetObserver is called, so that the next observer receives all further
+  // messages. To be called from Observer::OnMessage.
+  void PauseReceiving() { receiving_ = false; }
 
   // Sends the message, or queues it while the socket's buffer is full. Drops a message that is too long for
   // the socket. Does nothing after the channel has closed.
@@ -54,6 +57,7 @@
   Observer* observer_ = nullptr;
   std::deque<Packet> send_queue_;
   bool open_ = true;
+  bool receiving_ = false;  // whether a wait for messages is pending, or messages are being delivered
   // Set to false by the destructor. Pending handlers share it and check it before they use `this`.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/proxy/restart/successor_acceptor.cpp
+++ b/src/proxy/restart/successor_acceptor.cpp
@@ -78,7 +78,9 @@
   });
 }
 
-void SuccessorAcceptor::OnMessage(HotRestartChannel&, HotRestartMessage message) {
+// The next message may have arrived already. It is for the delegate.
+void SuccessorAcceptor::OnMessage(HotRestartChannel& channel, HotRestartMessage message) {
+  channel.PauseReceiving();
   ReleaseCandidate(std::holds_alternative<Hello>(message) && SendTransfer());
 }
 
