Stop: do not wait for a response that stands still

Cause: since responses in progress are finished, a host that hangs in the middle of one held the process up to its 30 s timeout. Restarted processes have to be ready within 10 s. Nothing is owed here: the host gives nothing that the gateway could cut off, and the client sees that the response is incomplete. Change: a stop waits for a response only while the host sends or the client reads; 5 s without either end the wait.

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -114,10 +114,11 @@
   return phase_ == Phase::kReading || (phase_ == Phase::kLingering && !shed_);
 }
 
-bool ClientConnection::HasUnfinishedResponse() const {
+bool ClientConnection::HasUnfinishedResponse(Millis now) const {
   switch (phase_) {
     case Phase::kServing: return true;
-    case Phase::kWriting: return request_open_ || reader_.in_body();
+    case Phase::kWriting:
+      return (request_open_ || reader_.in_body()) && now - writer_.progress_at() <= kStallTimeMs;
     case Phase::kLingering: return reader_.in_body();
     case Phase::kReading:
     case Phase::kClosed: return false;
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -101,10 +101,11 @@
   // a request or reads one. Also true while it lingers after its last response, unless the connection was
   // shed.
   bool IsReclaimable() const;
-  // Whether a response is owed or not written completely, or the client still sends the body of a request
-  // that has its response. In the last case a close would reset the connection, and the client could lose the
-  // response.
-  bool HasUnfinishedResponse() const;
+  // Whether a response is owed, or is being written and progresses, or the client still sends the body of a
+  // request that has its response. In the last case a close would reset the connection, and the client could
+  // lose the response. A response does not progress if neither the endpoint sends nor the client reads for
+  // kStallTimeMs.
+  bool HasUnfinishedResponse(Millis now) const;
   // The start of the current phase. For an idle connection, this is the time at which it became idle.
   Millis phase_entered_at() const { return phase_entered_at_; }
   // The last time at which the connection observed progress of an incomplete request.
@@ -131,6 +132,8 @@
   };
 
   static constexpr Millis kSettleTimeMs = 300;
+  // Short enough for the next process to be ready within 10 s after SIGTERM if a host or a client hangs.
+  static constexpr Millis kStallTimeMs = 5000;
 
   // RequestReader::Delegate, ResponseWriter::Delegate, LingeringClose::Delegate
   std::shared_ptr<void> KeepAlive() override { return shared_from_this(); }
--- a/src/proxy/client/client_server.hpp
+++ b/src/proxy/client/client_server.hpp
@@ -66,7 +66,7 @@
   void RejectRequests() { context_.rejects_requests = true; }
   // Returns whether the end of the process would cut off a response, see
   // ClientConnection::HasUnfinishedResponse.
-  bool HasUnfinishedResponses() const { return table_.HasUnfinishedResponses(); }
+  bool HasUnfinishedResponses() const { return table_.HasUnfinishedResponses(Now()); }
 
  private:
   // ClientConnectionOwner
--- a/src/proxy/client/connection_table.cpp
+++ b/src/proxy/client/connection_table.cpp
@@ -31,9 +31,9 @@
                              [](const auto& connection) { return connection->IsReclaimable(); });
 }
 
-bool ConnectionTable::HasUnfinishedResponses() const {
-  return std::ranges::any_of(connections_,
-                             [](const auto& connection) { return connection->HasUnfinishedResponse(); });
+bool ConnectionTable::HasUnfinishedResponses(Millis now) const {
+  return std::ranges::any_of(
+      connections_, [now](const auto& connection) { return connection->HasUnfinishedResponse(now); });
 }
 
 bool ConnectionTable::EvictOne() {
--- a/src/proxy/client/response_writer.hpp
+++ b/src/proxy/client/response_writer.hpp
@@ -53,6 +53,9 @@
   // Returns whether the client does not read: a write is pending, and no more data was acknowledged for the
   // duration of the write timeout. To be called at regular intervals.
   bool TimedOut(Millis now);
+  // The last time at which progress of the current response was observed: the start of a write, or an
+  // acknowledgment by the client that TimedOut has observed.
+  Millis progress_at() const { return progress_at_; }
   // Frees the memory of the response that was written.
   void Reset() { response_ = {}; }
 
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -310,8 +310,7 @@
   });
 }
 
-// Calls `done` when the responses that have begun were written, or at `finish_by`. The timeouts of each
-// connection end a response earlier if the endpoint or the client makes no progress.
+// Calls `done` when the responses that have begun were written or do not progress, or at `finish_by`.
 void Gateway::FinishResponses(Millis finish_by, const std::function<void()>& done) {
   if (!clients_.HasUnfinishedResponses() || Now() >= finish_by) return RunAfter(kFlushTimeMs, done);
   RunAfter(kFinishPollIntervalMs, [this, finish_by, done] { FinishResponses(finish_by, done); });
--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -106,6 +106,16 @@
   }
 }
 
+// A host that hangs in the middle of a long response must not hold up the restart, which has to be ready
+// within 10 s.
+TEST(GatewayStop, EndsWhenTheHostOfTheLastResponseHangs) {
+  constexpr std::chrono::seconds kRestartTime{10};
+  StopDuringResponse test;
+  const auto stop_began_at = std::chrono::steady_clock::now();
+  EXPECT_TRUE(test.harness.Until([&] { return test.stopped; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - stop_began_at, kRestartTime);
+}
+
 // While a long response holds up the stop, a pipelined request could still reach a host. SIGKILL may come
 // before its response, which would lose the request. The gateway must reject it at once.
 TEST(GatewayStop, RejectsRequestsThatArriveDuringTheLastResponses) {
