Tests of a stop: end the streamed response before the test ends

Change: both tests reset the host's connection and wait for the client's close at their end; no check is changed.

--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -26,6 +26,12 @@
     EXPECT_TRUE(harness.Until([&] { return harness.host().requests.size() == 2; }));
     harness.gateway->Stop([this] { stopped = true; });
   }
+  // Ends the long response. While a body is streamed, its two connections keep each other alive, so a test
+  // must not end before.
+  void EndResponse() {
+    HostConnection().Reset();
+    EXPECT_TRUE(reader->AwaitClose());
+  }
   FakeServer::Connection& HostConnection() { return *harness.host().requests[0].connection; }
 
   GatewayHarness harness;
@@ -114,6 +120,7 @@
   const auto stop_began_at = std::chrono::steady_clock::now();
   EXPECT_TRUE(test.harness.Until([&] { return test.stopped; }));
   EXPECT_LT(std::chrono::steady_clock::now() - stop_began_at, kRestartTime);
+  test.EndResponse();
 }
 
 // While a long response holds up the stop, a pipelined request could still reach a host. SIGKILL may come
@@ -125,6 +132,7 @@
   EXPECT_EQ(test.waiting->Await(2).result(), http::status::service_unavailable);
   EXPECT_EQ(test.harness.host().requests.size(), 2u);
   EXPECT_FALSE(test.stopped);
+  test.EndResponse();
 }
 
 // A client that still sends its body when the time for requests is over could lose the response: a close with
