Review case 8: a process that replaces another calls the address discovery has left

Cause: at a start NODE_DISCOVERY goes before the file, and the address that SIGHUP has brought is not handed over. Nothing is fixed.

--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -145,12 +145,16 @@
 
     def __init__(self, record):
         self.record = record
-        self.revision = 41
+        self.state = {"revision": 41}  # shared with the service at another address
         self.members = {}
         self.changed_at = {}
         self.condition = threading.Condition()
         super().__init__()
 
+    @property
+    def revision(self):
+        return self.state["revision"]
+
     def entry(self, host_id, address, phase="up", zone="kolonnawa", flavor="standard", up_since_ms=0):
         return {"id": host_id, "host_port": address, "locality": zone, "flavor": flavor, "cell": 0,
                 "phase": phase, "size": 1.0, "up_since_ms": up_since_ms}
@@ -161,12 +165,31 @@
 
     def change(self, member):
         with self.condition:
-            self.revision += 1
+            self.state["revision"] += 1
             self.members[member["id"]] = member
             self.changed_at[member["id"]] = self.revision
             self.record.add("discovery revision %d: %s %s" % (self.revision, member["id"], member["phase"]))
             self.condition.notify_all()
 
+    def move(self):
+        """Moves discovery to a new address, and returns what listens there. The members are shared. The old address
+        takes no new connections from now on, and its open ones close after 1.5 s (TERMS, "Reload")."""
+        moved = Discovery.__new__(Discovery)
+        moved.__dict__.update(self.__dict__)
+        Server.__init__(moved)
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.record.add("discovery moves from %s to %s" % (self.address, moved.address))
+        threading.Timer(1.5, self.close_connections).start()
+        return moved
+
+    def close_connections(self):
+        for sock in self.connections:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def whole(self):
         listed = [m for m in self.members.values() if m["phase"] != "removed"]
         return {"revision": self.revision, "complete": True, "members": listed}
@@ -266,7 +289,7 @@
 
 class Gateway:
     def __init__(self, record, folder, discovery, settings, management=True, memory_mb=192, sockets=1024,
-                 name="n0", listen=None, tmpdir=None):
+                 name="n0", listen=None, tmpdir=None, environment_discovery=None, known=None):
         self.record = record
         self.listen = listen or free_address()
         self.management = free_address() if management else None
@@ -276,12 +299,12 @@
         self.config = {
             "name": name, "listen": self.listen, "discovery": discovery.address, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
-            "peer_listen": free_address(), "peers": [], "known": discovery.whole(), "settings": settings}
+            "peer_listen": free_address(), "peers": [], "known": known or discovery.whole(), "settings": settings}
         if self.management:
             self.config["mgmt"] = self.management
         self.write_config()
         environment = {k: v for k, v in os.environ.items() if not k.startswith(("NODE_", "ELDERHEAD_"))}
-        environment.update(NODE_NAME=name, NODE_LISTEN=self.listen, NODE_DISCOVERY=discovery.address,
+        environment.update(NODE_NAME=name, NODE_LISTEN=self.listen, NODE_DISCOVERY=environment_discovery or discovery.address,
                            NODE_CONFIG=self.config_path, TMPDIR=self.tmpdir)
         if self.management:
             environment["NODE_MGMT"] = self.management
