Review cases: each folder names the record.txt that its script writes

Cause: the file was named in the shared module only, and a script that could not start left an old record. No check, bound or load is changed.

--- a/review/6/case-2.py
+++ b/review/6/case-2.py
@@ -107,4 +107,4 @@
     return broken
 
 
-s.play(__file__, run)
+s.play(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), run)
--- a/review/8/case-2.py
+++ b/review/8/case-2.py
@@ -110,4 +110,4 @@
             for at, request_id in (late[:3] + late[-3:] if len(late) > 6 else late)]
 
 
-s.play(__file__, run)
+s.play(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), run)
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -395,13 +395,14 @@
         return Answer(None, end=error.__class__.__name__)
 
 
-def play(case_file, run):
+def play(record_path, run):
     """Runs `run(record, folder, started)`, which returns a list of broken rules, and exits with the result.
 
-    `started` is a list to which `run` appends each process that it starts.
+    Writes what happens to the file at `record_path`. `started` is a list to which `run` appends each process that
+    it starts.
     """
     folder = tempfile.mkdtemp(prefix="review-")
-    record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
+    record = Record(record_path)
     record.add("TROUBLE=%d" % TROUBLE)
     started = []
     result = NOT_RUN
