Drain: the drain's own limit closes late connections and refuses late requests

Cause: a response whose head promised to keep the connection open before the drain was followed by a wait for the next request as without a drain (ClientConnection::OnResponseWritten).

Change: DrainState knows when the drain must be complete and decides at each event: how long a connection stays open after a late response (0.3 s, less towards the end, at least 10 ms), and whether a request is accepted. A late request gets 503 at once, unless its own time ends within the drain; a late upload is refused without its last piece. The close is not immediate, because the request of a client that sends at once would cross it.

The test of DrainState that called ClosesIdleConnections now compares the exact time of the close (IdleCloseTime), which is as strict.

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -161,6 +161,8 @@
 // Begins to read the next request. If a part of this request was read together with the previous request,
 // reads at once. Otherwise waits until the socket is readable.
 void ClientConnection::AwaitRequest() {
+  if (context_.drain.active())
+    context_.owner.CheckTimeoutsBy(context_.drain.IdleCloseTime(phase_entered_at_));
   reading_request_ = reader_.has_unparsed_bytes();
   if (reading_request_) return reader_.ReadHead();
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
@@ -200,10 +202,17 @@
 
 std::optional<RequestError> ClientConnection::ValidateRequest(const RequestHead& head) {
   if (auto error = context_.validator.Validate(head, attributes_)) return error;
-  if (context_.rejects_requests) return DrainError();
+  if (context_.rejects_requests || !context_.drain.AcceptsRequest(Now(), attributes_.time_allowed))
+    return DrainError();
   return std::nullopt;
 }
 
+// Refuses the complete request that was read.
+void ClientConnection::RefuseForDrain() {
+  EnterPhase(Phase::kServing);
+  RespondWithError(DrainError());
+}
+
 void ClientConnection::OnReadError(error_code error) {
   if (error == asio::error::no_memory) return RefuseForMemory();
   if (!IsProtocolViolation(error)) return OnDisconnect();
@@ -212,7 +221,11 @@
 }
 
 void ClientConnection::OnRequestBuffered() {
-  if (!is_readiness_check_) return DispatchRequest();
+  const bool complete = !reader_.in_body();
+  if (!is_readiness_check_) {
+    if (complete && !context_.drain.AcceptsRequest(Now(), attributes_.time_allowed)) return RefuseForDrain();
+    return DispatchRequest();
+  }
   const bool ready = context_.callbacks.is_ready();
   EnterPhase(Phase::kServing);
   WriteResponse(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11), nullptr);
@@ -226,6 +239,7 @@
   request.responder = ClientResponder(weak_from_this(), ++request_number_);
   request_id_ = request.id;
   class_name_ = request.class_name;
+  time_allowed_ = request.time_allowed;
   request_open_ = true;
   const Millis request_started_at = request_started_at_;
   EnterPhase(Phase::kServing);
@@ -238,9 +252,14 @@
   context_.callbacks.on_request(std::move(request));
 }
 
-// Ends the request if the client has left meanwhile: without the last piece, the endpoint can't execute it.
+// Ends the request if the client has left meanwhile, or if it arrives too late in a drain: without the last
+// piece, the endpoint can't execute it.
 void ClientConnection::OnStreamedBodyComplete() {
   if (reader_.DetectDisconnect()) return OnDisconnect();
+  if (!context_.drain.AcceptsForwardedRequest(Now(), time_allowed_)) {
+    CancelIncompleteRequest();
+    return RejectAndClose(DrainError());
+  }
   OnRequestComplete();
   context_.callbacks.on_request_complete(request_id_, reader_.earliest_completion());
 }
@@ -329,11 +348,20 @@
   if (in_request && context_.drain.RejectsIncompleteRequests(now)) {
     return RejectAndClose(DrainError());
   }
-  if (context_.drain.ClosesIdleConnections(now) && IsSettled(now)) return Close();
+  if (context_.drain.active()) return CheckDrain(now);
   const Millis idle_timeout_ms = is_first_request ? kFirstRequestTimeoutMs : kIdleTimeoutMs;
   if (now - phase_entered_at_ > idle_timeout_ms && IsIdle()) Close();
 }
 
+// Closes the connection if it is idle and its time in the drain is over. If bytes have arrived that are not
+// read yet, checks soon again whether they are a complete request.
+void ClientConnection::CheckDrain(Millis now) {
+  if (!IsBetweenRequests()) return;
+  const Millis close_at = context_.drain.IdleCloseTime(phase_entered_at_);
+  if (now < close_at) return context_.owner.CheckTimeoutsBy(close_at);
+  IsIdle() ? Close() : context_.owner.CheckTimeoutsBy(now + kMinSettleTimeMs);
+}
+
 void ClientConnection::CheckServingTimeouts(Millis now) {
   if (reader_.in_body() && reader_.BodyTimedOut(now)) return RejectSlowRequest();
   const bool watches_for_disconnect = !reader_.in_body() && disconnect_wait_pending_;
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -40,6 +40,8 @@
   virtual bool AtConnectionLimit() const = 0;
   // Called when a request is refused because too much memory is in use.
   virtual void OnMemoryExhausted() = 0;
+  // Requests that CheckTimeouts of all connections is called at `time` or earlier.
+  virtual void CheckTimeoutsBy(Millis time) = 0;
   // Called when a connection was closed or transferred. The owner must release its pointer to the connection.
   virtual void OnConnectionClosed(const std::shared_ptr<ClientConnection>& connection) = 0;
 };
@@ -146,7 +148,6 @@
     kClosed,
   };
 
-  static constexpr Millis kSettleTimeMs = 300;
   // Short enough for the next process to be ready within 10 s after SIGTERM if a host or a client hangs.
   static constexpr Millis kStallTimeMs = 5000;
 
@@ -167,6 +168,7 @@
   void DispatchRequest();
   void OnRequestComplete();
   std::optional<RequestError> ValidateRequest(const RequestHead& head);
+  void RefuseForDrain();
   void RefuseForMemory();
   Millis TimeInKernelQueues();
 
@@ -175,6 +177,7 @@
   void OnDisconnect();
 
   void CheckReadingTimeouts(Millis now);
+  void CheckDrain(Millis now);
   void CheckServingTimeouts(Millis now);
   void RejectSlowRequest();
   void CancelIncompleteRequest();
@@ -209,6 +212,7 @@
   RequestAttributes attributes_;  // attributes of the request that is being read
   std::string request_id_;        // ID of the last dispatched request
   std::string class_name_;        // traffic class of the last dispatched request
+  Millis time_allowed_ = 0;       // how long the client waits for the response to that request
   bool request_open_ = false;     // a request was dispatched and has not ended
   bool counted_active_ = false;   // the request is counted in the context's active_requests
 };
--- a/src/proxy/client/client_server.cpp
+++ b/src/proxy/client/client_server.cpp
@@ -83,12 +83,21 @@
 }
 
 void ClientServer::CheckTimeouts() {
-  timeout_timer_.expires_after(TimerDuration(kTimeoutCheckIntervalMs));
+  CheckTimeoutsAt(Now() + kTimeoutCheckIntervalMs);
+  for (const auto& connection : table_.Snapshot()) connection->CheckTimeouts(Now());
+  if (context_.buffer_budget->Exhausted()) OnMemoryExhausted();
+}
+
+void ClientServer::CheckTimeoutsAt(Millis time) {
+  next_check_at_ = time;
+  timeout_timer_.expires_after(TimerDuration(time - Now()));
   timeout_timer_.async_wait([this](error_code error) {
     if (!error) CheckTimeouts();
   });
-  for (const auto& connection : table_.Snapshot()) connection->CheckTimeouts(Now());
-  if (context_.buffer_budget->Exhausted()) OnMemoryExhausted();
+}
+
+void ClientServer::CheckTimeoutsBy(Millis time) {
+  if (time < next_check_at_) CheckTimeoutsAt(time);
 }
 
 void ClientServer::SetDraining(bool draining) {
--- a/src/proxy/client/client_server.hpp
+++ b/src/proxy/client/client_server.hpp
@@ -77,6 +77,7 @@
   // ClientConnectionOwner
   bool AtConnectionLimit() const override { return table_.AtLimit(); }
   void OnMemoryExhausted() override;
+  void CheckTimeoutsBy(Millis time) override;
   void OnConnectionClosed(const std::shared_ptr<ClientConnection>& connection) override;
   // ClientListener::Delegate
   bool MayAccept() override;
@@ -85,6 +86,7 @@
 
   std::shared_ptr<ClientConnection> AddConnection(boost::asio::ip::tcp::socket socket, bool transferred);
   void CheckTimeouts();
+  void CheckTimeoutsAt(Millis time);
   void RelieveMemory();
   void ReportStopIfEmpty();
 
@@ -92,6 +94,7 @@
   ClientConnectionContext context_;
   ConnectionTable table_;
   boost::asio::steady_timer timeout_timer_;
+  Millis next_check_at_ = 0;          // time of the next call of CheckTimeouts
   bool relief_pending_ = false;       // a call of RelieveMemory was posted
   Millis relieved_at_ = 0;            // last time at which incomplete requests were refused to free memory
   std::function<void()> on_stopped_;  // called when no connection remains open; empty before a stop
--- a/tests/proxy/body_progress_test.cpp
+++ b/tests/proxy/body_progress_test.cpp
@@ -48,16 +48,44 @@
 // after the start.
 TEST(DrainState, ClosesIdleConnectionsBeforeItRejectsIncompleteRequests) {
   DrainState drain;
-  EXPECT_FALSE(drain.ClosesIdleConnections(10000));
+  EXPECT_FALSE(drain.active());
   drain.Begin(1000);
   drain.Begin(1400);  // the drain is already active, so this has no effect
-  EXPECT_FALSE(drain.ClosesIdleConnections(1500));
-  EXPECT_TRUE(drain.ClosesIdleConnections(1501));
+  EXPECT_EQ(drain.IdleCloseTime(/*idle_since=*/0), 1500);
   EXPECT_FALSE(drain.RejectsIncompleteRequests(2700));
   EXPECT_TRUE(drain.RejectsIncompleteRequests(2701));
   drain.End();
   EXPECT_FALSE(drain.active());
 }
 
+// A connection whose response ends during the drain stays open for 300 ms, in which the next request may
+// arrive. Close to the time at which the drain must be complete, 3,900 ms after its start, it stays open for
+// less, but never for less than 10 ms.
+TEST(DrainState, ClosesConnectionsOfLateResponsesBeforeTheDrainMustBeComplete) {
+  DrainState drain;
+  drain.Begin(0);
+  EXPECT_EQ(drain.IdleCloseTime(1000), 1300);
+  EXPECT_EQ(drain.IdleCloseTime(3599), 3899);
+  EXPECT_EQ(drain.IdleCloseTime(3700), 3900);
+  EXPECT_EQ(drain.IdleCloseTime(3895), 3905);
+  EXPECT_EQ(drain.IdleCloseTime(9000), 9010);
+}
+
+// A request that could still be open when the drain must be complete, and is younger than 2 s then, would
+// make operators cut it off.
+TEST(DrainState, RefusesRequestsThatMayOutlastTheDrain) {
+  DrainState drain;
+  EXPECT_TRUE(drain.AcceptsRequest(0, 20000));
+  drain.Begin(0);
+  EXPECT_TRUE(drain.AcceptsRequest(1900, 20000));
+  EXPECT_FALSE(drain.AcceptsRequest(1901, 2000));
+  EXPECT_TRUE(drain.AcceptsRequest(1901, 1999));
+  EXPECT_FALSE(drain.AcceptsRequest(9000, 10));
+  EXPECT_FALSE(drain.AcceptsForwardedRequest(3800, 2000));
+  EXPECT_TRUE(drain.AcceptsForwardedRequest(3901, 2000));
+  drain.End();
+  EXPECT_TRUE(drain.AcceptsRequest(9000, 20000));
+}
+
 }  // namespace
 }  // namespace gateway::proxy::testing
