Stop: one place decides what is pending in every phase, until the process exits

Cause: ClientConnection::HasUnfinishedResponse counted no connection whose request was still being read. Gateway::FinishResponses looked once, found nothing and ended the process after a fixed 0.2 s without another look. A request whose head had been read before 0.7 s was dispatched when its body was complete, however late, after TimeOutAll had run.

Change: ClientConnection::HasPendingWork answers for every phase (head or body being read or unread, queued, at a host, written but not acknowledged, client still sending). Gateway::ExitWhenNothingIsPending checks it every 20 ms and exits in the check that finds nothing; there is no wait after it. Requests that are still being read when the time is over get 503 at once. The rule on late requests is a ServingWindow in DrainState, which head and complete body ask: from 0.7 s on only requests are accepted whose time ends before the last responses. Connections that wait to be sent to a successor have 1 s more instead of being dropped at the exit (by reading, no test).

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -115,12 +115,12 @@
   request_started_at_ = phase_entered_at_;
 }
 
-bool ClientConnection::IsIdle() {
+bool ClientConnection::IsIdle() const {
   error_code ignored;
   return IsBetweenRequests() && socket_.available(ignored) == 0;
 }
 
-bool ClientConnection::IsRequestStalled() {
+bool ClientConnection::IsRequestStalled() const {
   error_code ignored;
   return phase_ == Phase::kReading && reading_request_ && socket_.available(ignored) == 0;
 }
@@ -136,17 +136,21 @@
   RefuseForMemory();
 }
 
+void ClientConnection::RefuseIncomplete() {
+  if (phase_ == Phase::kReading && reading_request_) RejectAndClose(DrainError());
+}
+
 bool ClientConnection::IsReclaimable() const {
   return phase_ == Phase::kReading || (phase_ == Phase::kLingering && !shed_);
 }
 
-bool ClientConnection::HasUnfinishedResponse(Millis now) const {
+bool ClientConnection::HasPendingWork(Millis now) const {
   switch (phase_) {
+    case Phase::kReading: return !IsSettled(now);
     case Phase::kServing: return true;
-    case Phase::kWriting:
-      return (request_open_ || reader_.in_body()) && now - writer_.progress_at() <= kStallTimeMs;
-    case Phase::kLingering: return reader_.in_body();
-    case Phase::kReading:
+    case Phase::kWriting: return now - writer_.progress_at() <= kStallTimeMs;
+    case Phase::kLingering:
+      return reader_.in_body() || writer_.HasUnacknowledgedBytes() || !linger_.IsQuiet(now);
     case Phase::kClosed: return false;
   }
   return false;
@@ -202,8 +206,7 @@
 
 std::optional<RequestError> ClientConnection::ValidateRequest(const RequestHead& head) {
   if (auto error = context_.validator.Validate(head, attributes_)) return error;
-  if (context_.rejects_requests || !context_.drain.AcceptsRequest(Now(), attributes_.time_allowed))
-    return DrainError();
+  if (!context_.drain.AcceptsRequest(Now(), attributes_.time_allowed)) return DrainError();
   return std::nullopt;
 }
 
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -57,7 +57,6 @@
   DrainState drain = {};
   std::size_t active_requests = 0;    // complete requests whose response is not written yet
   std::uint64_t memory_refusals = 0;  // requests refused because the budget was used up, since the start
-  bool rejects_requests = false;      // whether the response to a request whose head arrives is 503
   ConnectionTransfer transfer = {};   // empty until the transfer of idle connections begins
 };
 
@@ -98,29 +97,36 @@
   void CheckTimeouts(Millis now);
 
   // Whether the connection is between requests and has no unread data, so that closing it loses no request.
-  bool IsIdle();
+  bool IsIdle() const;
   // Whether the connection has been idle for longer than kSettleTimeMs, so that no request or response should
   // still be in transit. If a response is in transit, closing the connection could reset it, and the client
   // would lose the response.
-  bool IsSettled(Millis now) { return now - phase_entered_at_ > kSettleTimeMs && IsIdle(); }
+  bool IsSettled(Millis now) const { return now - phase_entered_at_ > kSettleTimeMs && IsIdle(); }
   // Whether the last response of the connection was written, and the client has not closed its side yet.
-  bool IsLingering() { return phase_ == Phase::kLingering; }
+  bool IsLingering() const { return phase_ == Phase::kLingering; }
   // Whether a part of a request was read and no further data of the request has arrived.
-  bool IsRequestStalled();
+  bool IsRequestStalled() const;
   // The memory that an incomplete request uses of which no endpoint has a part; 0 if there is no such
   // request.
   std::size_t UnsentBytes() const;
   // Refuses the request that UnsentBytes refers to, and closes the connection after the response.
   void RefuseUnsent();
+  // Refuses the request of which only a part was read, if there is one that was not dispatched, and closes
+  // the connection after the response.
+  void RefuseIncomplete();
   // Whether the connection can end soon without waiting for an endpoint. True while the connection waits for
   // a request or reads one. Also true while it lingers after its last response, unless the connection was
   // shed.
   bool IsReclaimable() const;
-  // Whether a response is owed, or is being written and progresses, or the client still sends the body of a
-  // request that has its response. In the last case a close would reset the connection, and the client could
-  // lose the response. A response does not progress if neither the endpoint sends nor the client reads for
-  // kStallTimeMs.
-  bool HasUnfinishedResponse(Millis now) const;
+  // Whether the end of the process could cost the client a response. This is the case in each of these
+  // phases:
+  // - a part of a request has arrived, is unread, or may be in transit because the connection is not settled;
+  // - the response is awaited, from the queue or from an endpoint;
+  // - the response is being written and progresses, which it does not if neither the endpoint sends nor the
+  //   client reads for kStallTimeMs;
+  // - the last response is not acknowledged, or the client still sends, so that a close would reset the
+  //   connection.
+  bool HasPendingWork(Millis now) const;
   // The start of the current phase. For an idle connection, this is the time at which it became idle.
   Millis phase_entered_at() const { return phase_entered_at_; }
   // The arrival of the first byte of the current request, or an earlier time.
--- a/src/proxy/client/client_server.cpp
+++ b/src/proxy/client/client_server.cpp
@@ -143,4 +143,8 @@
   ReportStopIfEmpty();
 }
 
+void ClientServer::RefuseIncompleteRequests() {
+  for (const auto& connection : table_.Snapshot()) connection->RefuseIncomplete();
+}
+
 }  // namespace gateway::proxy
--- a/src/proxy/client/client_server.hpp
+++ b/src/proxy/client/client_server.hpp
@@ -67,11 +67,13 @@
   // Begins a drain, accepts the pending connections, then closes the listener and the idle connections. Calls
   // `done` when no connection remains open.
   void StopListening(std::function<void()> done);
-  // From now on, responds with 503 to each request whose head arrives, for the end of a stop.
-  void RejectRequests() { context_.rejects_requests = true; }
-  // Returns whether the end of the process would cut off a response, see
-  // ClientConnection::HasUnfinishedResponse.
-  bool HasUnfinishedResponses() const { return table_.HasUnfinishedResponses(Now()); }
+  // From now on, responds with 503 to each request that `window` does not accept, because the process stops.
+  void BeginStop(const ServingWindow& window) { context_.drain.BeginStop(window); }
+  // Responds with 503 to all requests of which a part was read and that were not passed to the gateway.
+  void RefuseIncompleteRequests();
+  // Returns whether the end of the process could cost a client a response, see
+  // ClientConnection::HasPendingWork.
+  bool HasPendingWork() const { return table_.HasPendingWork(Now()); }
 
  private:
   // ClientConnectionOwner
--- a/src/proxy/client/connection_table.cpp
+++ b/src/proxy/client/connection_table.cpp
@@ -26,7 +26,7 @@
   // Ignores connections that meet the condition since `before` or later.
   explicit Oldest(Millis before) : since_(before) {}
   void Consider(const std::shared_ptr<ClientConnection>& connection, Millis since,
-                bool (ClientConnection::*condition)()) {
+                bool (ClientConnection::*condition)() const) {
     if (since >= since_ || !(connection.get()->*condition)()) return;
     connection_ = connection;
     since_ = since;
@@ -55,9 +55,9 @@
                              [](const auto& connection) { return connection->IsReclaimable(); });
 }
 
-bool ConnectionTable::HasUnfinishedResponses(Millis now) const {
-  return std::ranges::any_of(
-      connections_, [now](const auto& connection) { return connection->HasUnfinishedResponse(now); });
+bool ConnectionTable::HasPendingWork(Millis now) const {
+  return std::ranges::any_of(connections_,
+                             [now](const auto& connection) { return connection->HasPendingWork(now); });
 }
 
 bool ConnectionTable::EvictOne() {
--- a/src/proxy/client/connection_table.hpp
+++ b/src/proxy/client/connection_table.hpp
@@ -48,9 +48,9 @@
   // Returns whether new clients are shed, because no connection has been reclaimable for some time. Call
   // MakeRoom first, which records whether a connection is reclaimable.
   bool ShedsNewClients() const;
-  // Returns whether a connection has an unfinished response at `now`. Takes time proportional to the number
-  // of connections.
-  bool HasUnfinishedResponses(Millis now) const;
+  // Returns whether a connection has pending work at `now`, see ClientConnection::HasPendingWork. Takes time
+  // proportional to the number of connections.
+  bool HasPendingWork(Millis now) const;
   // Returns whether there is room for another connection that is shed.
   bool HasRoomToShed() const;
 
--- a/src/proxy/client/drain_state.hpp
+++ b/src/proxy/client/drain_state.hpp
@@ -1,4 +1,4 @@
-// The rules for closing clients' connections, and for refusing requests, while the gateway drains.
+// The rules for closing clients' connections, and for refusing requests, while the gateway drains or stops.
 #ifndef GATEWAY_PROXY_CLIENT_DRAIN_STATE_HPP_
 #define GATEWAY_PROXY_CLIENT_DRAIN_STATE_HPP_
 
@@ -25,9 +25,20 @@
 // The idle time that remains at the end of a drain, in which a client that sends at once gets its response.
 constexpr Millis kMinSettleTimeMs = 10;
 
-// Records whether the gateway drains, and since when. During a drain, every response closes its connection,
-// and idle connections are closed after a delay. Requests that arrive late in a drain are refused. A state
-// machine without I/O; times are on the clock of Now().
+// A time span at whose end no request may wait for its response. Times are on the clock of Now().
+struct ServingWindow {
+  Millis accept_until = 0;  // a request that arrives until this time is accepted
+  Millis respond_by = 0;    // a later request is accepted only if its time ends by this time
+
+  // `time_allowed` is how long the client waits for the response.
+  bool Accepts(Millis now, Millis time_allowed) const {
+    return now <= accept_until || now + time_allowed <= respond_by;
+  }
+};
+
+// Records whether the gateway drains or stops, and since when. During a drain, every response closes its
+// connection, and idle connections are closed after a delay. Requests that arrive late in a drain are
+// refused. A state machine without I/O; times are on the clock of Now().
 class DrainState {
  public:
   // Begins a drain. Has no effect if a drain is active.
@@ -35,6 +46,8 @@
     if (!started_at_) started_at_ = now;
   }
   void End() { started_at_.reset(); }
+  // Begins the stop of the process, with or without a drain.
+  void BeginStop(const ServingWindow& window) { stop_window_ = window; }
 
   bool active() const { return started_at_.has_value(); }
 
@@ -48,20 +61,25 @@
     return active() && now - *started_at_ > kDrainRequestTimeoutMs;
   }
   // Returns whether a request is accepted whose last byte arrives at `now`, and whose client waits for
-  // `time_allowed`. Late in a drain, only requests are accepted that end before the drain is complete.
+  // `time_allowed`. Late in a drain or a stop, only requests are accepted that end in time.
   bool AcceptsRequest(Millis now, Millis time_allowed) const {
-    return !active() || now <= complete_at() - kDrainLongestWaitMs || now + time_allowed <= complete_at();
+    return DrainAccepts(now, time_allowed) && (!stop_window_ || stop_window_->Accepts(now, time_allowed));
   }
-  // The same for a request whose body was forwarded while it arrived. When the drain should be complete,
-  // its connection is in use, so the rest of the body may still arrive.
+  // The same for a request whose body was forwarded while it arrived. After the time at which a drain must be
+  // complete, the body may still arrive, because its connection is in use. A stop ends these requests itself.
   bool AcceptsForwardedRequest(Millis now, Millis time_allowed) const {
-    return AcceptsRequest(now, time_allowed) || now > complete_at();
+    return stop_window_ || DrainAccepts(now, time_allowed) || now > complete_at();
   }
 
  private:
   Millis complete_at() const { return *started_at_ + kDrainCompleteMs; }
+  bool DrainAccepts(Millis now, Millis time_allowed) const {
+    return !active() ||
+           ServingWindow{complete_at() - kDrainLongestWaitMs, complete_at()}.Accepts(now, time_allowed);
+  }
 
   std::optional<Millis> started_at_;
+  std::optional<ServingWindow> stop_window_;
 };
 
 }  // namespace gateway::proxy
--- a/src/proxy/client/lingering_close.hpp
+++ b/src/proxy/client/lingering_close.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 
+#include "proxy/client/drain_state.hpp"
 #include "proxy/clock.hpp"
 #include "proxy/connection_part.hpp"
 
@@ -31,6 +32,8 @@
   void Start();
   // Stops the calls to the delegate.
   void Stop() { active_ = false; }
+  // Returns whether the client has sent nothing for so long that no data should be in transit.
+  bool IsQuiet(Millis now) const { return now - last_received_at_ > kSettleTimeMs; }
   // Returns whether the client has not closed its side within the time limit.
   bool TimedOut(Millis now) const;
 
--- a/src/proxy/client/response_writer.cpp
+++ b/src/proxy/client/response_writer.cpp
@@ -56,6 +56,10 @@
   return now - progress_at_ > kWriteTimeoutMs;
 }
 
+bool ResponseWriter::HasUnacknowledgedBytes() const {
+  return UnacknowledgedBytes(socket_.native_handle()).value_or(0) > 0;
+}
+
 void ResponseWriter::Reset() {
   ReleaseResponse();
   response_ = {};
--- a/src/proxy/client/response_writer.hpp
+++ b/src/proxy/client/response_writer.hpp
@@ -59,6 +59,8 @@
   // The last time at which progress of the current response was observed: the start of a write, or an
   // acknowledgment by the client that TimedOut has observed.
   Millis progress_at() const { return progress_at_; }
+  // Returns whether the client's system has not acknowledged all that was written.
+  bool HasUnacknowledgedBytes() const;
   // Frees the memory of the response that was written.
   void Reset();
 
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -31,8 +31,9 @@
 constexpr Millis kServeAfterStopMs = 700;
 // The time to write the responses that have begun: that of the largest body at the minimum rate.
 constexpr Millis kFinishResponsesWithinMs = static_cast<double>(kMaxBodyBytes) / kMinBodyBytesPerMs;
-constexpr Millis kFinishPollIntervalMs = 50;  // time between two checks whether all responses were written
-constexpr Millis kFlushTimeMs = 200;          // time to send the last responses
+// The time to send connections to a successor that does not receive.
+constexpr Millis kFinishTransfersWithinMs = 1000;
+constexpr Millis kFinishPollIntervalMs = 20;  // time between two checks whether any work is pending
 // The share of the memory that clients may make the process hold. The rest is for the process itself, for
 // memory that the allocator can't reuse at once, and for what is not counted.
 constexpr double kBufferBudgetShare = 0.375;
@@ -106,7 +107,7 @@
 Millis RespondWithinAtStop(const policy::Settings& settings) {
   Millis longest = 0;
   for (const auto& traffic_class : settings.classes) longest = std::max(longest, traffic_class.deadline);
-  return std::min(longest, kMaxDeadlineAtStopMs) + kStopMarginMs;
+  return std::max(std::min(longest, kMaxDeadlineAtStopMs) + kStopMarginMs, kServeAfterStopMs);
 }
 
 // Returns whether another process listens on the client address but transferred no listener.
@@ -333,11 +334,12 @@
 
 void Gateway::Stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
+  clients_.BeginStop({Now() + kServeAfterStopMs, Now() + respond_within_});
   if (hot_restart_.HasReadySuccessor()) return StopForSuccessor(done);
   clients_.SetDraining(true);
   RunAfter(kAcceptAfterStopMs, [this, done = std::move(done)] {
     clients_.StopListening(done);
-    CompleteRequests(kAcceptAfterStopMs, done);
+    TimeOutRequestsAfter(respond_within_ - kAcceptAfterStopMs, done);
   });
 }
 
@@ -348,29 +350,28 @@
   clients_.TransferConnections(
       [this](base::FileDescriptor client) { return hot_restart_.TransferClient(std::move(client)); },
       [this, done] { hot_restart_.WhenTransfersSent(done); });
-  CompleteRequests(/*elapsed=*/0, done);
-}
-
-// Completes the requests that have arrived, and rejects those that arrive too late. `elapsed` is the time
-// since the stop began.
-void Gateway::CompleteRequests(Millis elapsed, const std::function<void()>& done) {
-  RunAfter(kServeAfterStopMs - elapsed, [this, done] {
-    clients_.RejectRequests();
-    TimeOutRequestsAfter(std::max(0.0, respond_within_ - kServeAfterStopMs), done);
-  });
+  TimeOutRequestsAfter(respond_within_, done);
 }
 
 void Gateway::TimeOutRequestsAfter(Millis delay, const std::function<void()>& done) {
   RunAfter(delay, [this, done] {
     requests_.TimeOutAll();
-    FinishResponses(Now() + kFinishResponsesWithinMs, done);
+    requests_timed_out_at_ = Now();
+    ExitWhenNothingIsPending(done);
   });
 }
 
-// Calls `done` when the responses that have begun were written or do not progress, or at `finish_by`.
-void Gateway::FinishResponses(Millis finish_by, const std::function<void()>& done) {
-  if (!clients_.HasUnfinishedResponses() || Now() >= finish_by) return RunAfter(kFlushTimeMs, done);
-  RunAfter(kFinishPollIntervalMs, [this, finish_by, done] { FinishResponses(finish_by, done); });
+// Calls `done` as soon as a check finds no pending work. From now on, each request that arrives is refused.
+void Gateway::ExitWhenNothingIsPending(const std::function<void()>& done) {
+  clients_.RefuseIncompleteRequests();
+  if (!HasPendingWork()) return done();
+  RunAfter(kFinishPollIntervalMs, [this, done] { ExitWhenNothingIsPending(done); });
+}
+
+bool Gateway::HasPendingWork() const {
+  const Millis elapsed = Now() - requests_timed_out_at_;
+  return (clients_.HasPendingWork() && elapsed < kFinishResponsesWithinMs) ||
+         (hot_restart_.HasUnsentTransfers() && elapsed < kFinishTransfersWithinMs);
 }
 
 // Replaces the pending action of a stop, if there is one.
--- a/src/proxy/gateway.hpp
+++ b/src/proxy/gateway.hpp
@@ -82,9 +82,9 @@
   void LimitConnections(bool half);
   TransferredState StateForSuccessor() const { return {list_.Snapshot(), driver_.policy().ExportState()}; }
   void StopForSuccessor(const std::function<void()>& done);
-  void CompleteRequests(Millis elapsed, const std::function<void()>& done);
   void TimeOutRequestsAfter(Millis delay, const std::function<void()>& done);
-  void FinishResponses(Millis finish_by, const std::function<void()>& done);
+  void ExitWhenNothingIsPending(const std::function<void()>& done);
+  bool HasPendingWork() const;
   void RunAfter(Millis delay, std::function<void()> action);
 
   boost::asio::io_context& io_;
@@ -106,7 +106,8 @@
   bool list_from_state_ = false;       // whether the current list was loaded from disk
   bool has_listed_endpoints_ = false;  // whether a list with an endpoint was applied
   bool stopping_ = false;
-  bool draining_ = false;  // whether an operator has requested a drain
+  Millis requests_timed_out_at_ = 0;  // time of a stop at which the remaining requests timed out
+  bool draining_ = false;             // whether an operator has requested a drain
   boost::asio::steady_timer stop_timer_;
   ClientServer clients_;
   ManagementCommands commands_;
--- a/src/proxy/restart/hot_restart.cpp
+++ b/src/proxy/restart/hot_restart.cpp
@@ -61,7 +61,7 @@
 }
 
 void HotRestart::WhenTransfersSent(const std::function<void()>& done) {
-  if (!successor_ || successor_->all_sent()) return done();
+  if (!HasUnsentTransfers()) return done();
   transfer_timer_.expires_after(TimerDuration(kTransferPollIntervalMs));
   transfer_timer_.async_wait([this, done](error_code ec) {
     if (!ec) WhenTransfersSent(done);
--- a/src/proxy/restart/hot_restart.hpp
+++ b/src/proxy/restart/hot_restart.hpp
@@ -91,6 +91,8 @@
   // Transfers a client connection that is between two requests to the successor. If the successor is no
   // longer connected, closes the connection and returns false.
   bool TransferClient(base::FileDescriptor connection);
+  // Returns whether messages to the successor wait to be sent. May be called at any time.
+  bool HasUnsentTransfers() const { return successor_ && !successor_->all_sent(); }
   // Calls `done` when all transfers have been sent, possibly before this method returns.
   void WhenTransfersSent(const std::function<void()>& done);
 
--- a/tests/proxy/body_progress_test.cpp
+++ b/tests/proxy/body_progress_test.cpp
@@ -87,5 +87,19 @@
   EXPECT_TRUE(drain.AcceptsRequest(9000, 20000));
 }
 
+// SIGKILL may follow soon after the stop's last responses, so later requests are refused unless they end
+// before. Long uploads that hosts have a part of are ended by the stop itself.
+TEST(DrainState, RefusesRequestsThatMayOutlastTheStop) {
+  DrainState drain;
+  drain.BeginStop({.accept_until = 700, .respond_by = 1050});
+  EXPECT_TRUE(drain.AcceptsRequest(700, 750));
+  EXPECT_FALSE(drain.AcceptsRequest(701, 750));
+  EXPECT_TRUE(drain.AcceptsRequest(900, 150));
+  EXPECT_FALSE(drain.AcceptsRequest(1051, 0));
+  EXPECT_TRUE(drain.AcceptsForwardedRequest(1000, 750));
+  drain.Begin(0);
+  EXPECT_FALSE(drain.AcceptsRequest(701, 750));
+}
+
 }  // namespace
 }  // namespace gateway::proxy::testing
--- a/tests/proxy/hot_restart_test.cpp
+++ b/tests/proxy/hot_restart_test.cpp
@@ -179,6 +179,30 @@
   EXPECT_EQ(fixture.Request(reader, "two", 2), "two");
 }
 
+// A client may still send its body when the old process has no time left for requests. The old process must
+// not exit before the client has its response, which tells it to repeat the request.
+TEST(HotRestart, OldProcessRespondsToARequestWhoseBodyArrivesLate) {
+  constexpr std::size_t kBodyBytes = 50000;
+  constexpr int kPieces = 40;
+  HotRestartFixture fixture;
+  auto old = fixture.Start();
+  ASSERT_TRUE(fixture.BecomesReady(old));
+  Client client(fixture.io, fixture.listen);
+  const std::string request = ApiCall("late", "pay", "5000m", std::string(kBodyBytes, 'x'));
+  client.Send(request.substr(0, request.size() - kBodyBytes));
+  auto next = fixture.Start();
+  ASSERT_TRUE(fixture.BecomesReady(next));
+  old.process->Terminate();
+  for (int i = 0; i < kPieces; ++i) {  // for 4 s, longer than the process serves requests
+    client.Send(std::string(kBodyBytes / kPieces, 'x'));
+    fixture.io.run_for(std::chrono::milliseconds(100));
+  }
+  EXPECT_EQ(client.Await().result(), http::status::service_unavailable);
+  EXPECT_FALSE(client.write_failed());
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return old.process->HasExited(); }));
+  EXPECT_EQ(old.process->Wait(), 0);
+}
+
 // If an operator drains the old process while both processes run, the old process must fail its health check,
 // although the new process is ready.
 TEST(HotRestart, OldProcessFailsItsHealthCheckWhileDraining) {
--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -14,6 +14,55 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLongBodyBytes) + "\r\n\r\n";
 }
 
+nlohmann::json SettingsWithDeadline(std::chrono::milliseconds deadline) {
+  nlohmann::json settings = TestSettings();
+  for (auto& traffic_class : settings["categories"]) {
+    traffic_class["sloMs"] = deadline.count();
+    traffic_class["deadlineMs"] = deadline.count();
+  }
+  return settings;
+}
+
+// A gateway with short deadlines that stops while its only client sends a request slowly. The only work that
+// is pending is the incomplete request.
+struct StopDuringRequest {
+  static constexpr std::chrono::milliseconds kDeadline{750};
+
+  explicit StopDuringRequest(std::string text) : request(std::move(text)) {
+    stop_began_at = std::chrono::steady_clock::now();
+    harness.gateway->Stop([this] { stopped = true; });
+  }
+  // Sends the request in pieces. The last piece is sent at this time after the begin of the stop.
+  void SendUntil(std::chrono::milliseconds end) {
+    constexpr int kPieces = 20;
+    for (int i = 0; i < kPieces; ++i) {
+      const std::size_t begin = request.size() * i / kPieces;
+      harness.io.run_until(stop_began_at + end * (i + 1) / kPieces);
+      if (stopped) return;  // the process would have ended
+      client->Send(request.substr(begin, request.size() * (i + 1) / kPieces - begin));
+    }
+  }
+  // Runs until the process would end. Returns the responses that the client has until then.
+  const std::vector<HttpResponse>& AwaitStop() {
+    EXPECT_TRUE(harness.Until([&] { return stopped; }));
+    harness.io.poll();  // the client reads what was sent
+    return client->responses();
+  }
+  bool HostHasRequest() const { return !harness.hosts[0]->requests.empty(); }
+
+  GatewayHarness harness{1, SettingsWithDeadline(kDeadline)};
+  const std::string request;
+  const std::unique_ptr<Client> client = harness.Connect();
+  std::chrono::steady_clock::time_point stop_began_at;
+  bool stopped = false;
+};
+
+std::string ChunkedApiCall(const std::string& body) {
+  std::string text = ApiCall("r", "pay", "750m", "", "Transfer-Encoding: chunked\r\n");
+  text.erase(text.find("Content-Length"), std::string("Content-Length: 0\r\n").size());
+  return text + Chunk(body) + "0\r\n\r\n";
+}
+
 // A gateway that stops while a host sends a long response, and a second request whose response shows that the
 // time for requests without a response is over.
 struct StopDuringResponse {
@@ -90,12 +139,7 @@
 TEST(GatewayStop, RespondsBeforeTheEarliestSigkillIfDeadlinesAreShort) {
   constexpr std::chrono::milliseconds kLongestDeadline{800};
   constexpr std::chrono::milliseconds kSigkillMargin{700};
-  nlohmann::json settings = TestSettings();
-  for (auto& traffic_class : settings["categories"]) {
-    traffic_class["sloMs"] = kLongestDeadline.count();
-    traffic_class["deadlineMs"] = kLongestDeadline.count();
-  }
-  GatewayHarness harness(1, settings);
+  GatewayHarness harness(1, SettingsWithDeadline(kLongestDeadline));
   const auto client = harness.Connect(), uploader = harness.Connect();
   client->Send(ApiCall("r1", "pay", "800m"));
   ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
@@ -127,6 +171,41 @@
   EXPECT_EQ(harness.host().requests.size(), 1u);
 }
 
+// A request whose head or body is still arriving when the time for requests is over is pending work, although
+// no response has begun. The process must not end before its client has a response, and no host may execute a
+// request whose response could not be written.
+TEST(GatewayStop, RespondsToARequestThatArrivesLate) {
+  constexpr std::size_t kShortBodyBytes = 56000;
+  const std::string body(kShortBodyBytes, 'x');
+  for (const std::string& request :
+       {ApiCall("r", "pay", "750m", body), ChunkedApiCall(body), ApiCall("r", "pay", "750m"),
+        ApiCall("r", "pay", "750m", std::string(kLongBodyBytes, 'x')), ChunkedApiCall(body + body)}) {
+    for (const std::chrono::milliseconds end :
+         {std::chrono::milliseconds(900), std::chrono::milliseconds(1160), std::chrono::milliseconds(1400)}) {
+      SCOPED_TRACE(request.substr(0, 150) + std::to_string(end.count()));
+      StopDuringRequest test(request);
+      test.SendUntil(end);
+      const auto& responses = test.AwaitStop();
+      ASSERT_EQ(responses.size(), 1u);
+      EXPECT_FALSE(test.HostHasRequest() && responses[0].result() == http::status::service_unavailable);
+      EXPECT_FALSE(test.client->write_failed());
+    }
+  }
+}
+
+// A client that stops in the middle of its request must get its response as well, and must not hold up the
+// stop.
+TEST(GatewayStop, EndsWhenTheClientOfAnIncompleteRequestHangs) {
+  constexpr std::chrono::seconds kRestartTime{10};
+  for (const std::size_t part : {50, 20000}) {
+    SCOPED_TRACE(part);
+    StopDuringRequest test(ApiCall("r", "pay", "750m", std::string(kLongBodyBytes, 'x')).substr(0, part));
+    test.SendUntil(std::chrono::milliseconds(600));
+    EXPECT_EQ(test.AwaitStop().size(), 1u);
+    EXPECT_LT(std::chrono::steady_clock::now() - test.stop_began_at, kRestartTime);
+  }
+}
+
 // A response that a host still sends when the time for requests is over must not be cut off: the client has
 // waited for it since before SIGTERM. The process must exit soon after the response.
 TEST(GatewayStop, WritesAResponseThatHasBegunCompletely) {
