Drain: give new connections their time to send a request

Cause: late in a drain, the time that an idle connection stays open shrinks to 10 ms, also for connections that were accepted in the drain. A client or a health check that sends a moment after its connect would have crossed the close.

Change: the shorter time applies to connections on which a request was served; the load balancer opens no others late in a drain.

Measured: DrainState.ClosesConnectionsOfLateResponsesBeforeTheDrainMustBeComplete covers both; Drain.* and GatewayStop.Resp* passed (13 tests).

--- a/src/proxy/client/client_connection.cpp
+++ b/src/proxy/client/client_connection.cpp
@@ -165,8 +165,7 @@
 // Begins to read the next request. If a part of this request was read together with the previous request,
 // reads at once. Otherwise waits until the socket is readable.
 void ClientConnection::AwaitRequest() {
-  if (context_.drain.active())
-    context_.owner.CheckTimeoutsBy(context_.drain.IdleCloseTime(phase_entered_at_));
+  if (context_.drain.active()) context_.owner.CheckTimeoutsBy(DrainCloseTime());
   reading_request_ = reader_.has_unparsed_bytes();
   if (reading_request_) return reader_.ReadHead();
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
@@ -356,11 +355,17 @@
   if (now - phase_entered_at_ > idle_timeout_ms && IsIdle()) Close();
 }
 
+// Returns the time at which a drain closes the connection if it stays idle.
+Millis ClientConnection::DrainCloseTime() const {
+  return request_number_ == 0 ? context_.drain.UnusedCloseTime(phase_entered_at_)
+                              : context_.drain.IdleCloseTime(phase_entered_at_);
+}
+
 // Closes the connection if it is idle and its time in the drain is over. If bytes have arrived that are not
 // read yet, checks soon again whether they are a complete request.
 void ClientConnection::CheckDrain(Millis now) {
   if (!IsBetweenRequests()) return;
-  const Millis close_at = context_.drain.IdleCloseTime(phase_entered_at_);
+  const Millis close_at = DrainCloseTime();
   if (now < close_at) return context_.owner.CheckTimeoutsBy(close_at);
   IsIdle() ? Close() : context_.owner.CheckTimeoutsBy(now + kMinSettleTimeMs);
 }
--- a/src/proxy/client/client_connection.hpp
+++ b/src/proxy/client/client_connection.hpp
@@ -183,6 +183,7 @@
   void OnDisconnect();
 
   void CheckReadingTimeouts(Millis now);
+  Millis DrainCloseTime() const;
   void CheckDrain(Millis now);
   void CheckServingTimeouts(Millis now);
   void RejectSlowRequest();
--- a/src/proxy/client/drain_state.hpp
+++ b/src/proxy/client/drain_state.hpp
@@ -51,11 +51,15 @@
 
   bool active() const { return started_at_.has_value(); }
 
-  // Returns the time at which a connection is closed that has been idle since `idle_since`. To be called
-  // during a drain.
+  // Returns the time at which a connection is closed that has been idle since `idle_since`, the end of its
+  // last response. To be called during a drain.
   Millis IdleCloseTime(Millis idle_since) const {
-    const Millis settled_at = std::max(*started_at_ + kDrainIdleCloseDelayMs, idle_since + kSettleTimeMs);
-    return std::max(std::min(settled_at, complete_at()), idle_since + kMinSettleTimeMs);
+    return std::max(std::min(UnusedCloseTime(idle_since), complete_at()), idle_since + kMinSettleTimeMs);
+  }
+  // The same for a connection that was accepted at `accepted_at` and on which no request was served. The load
+  // balancer opens none late in a drain, so others get their time to send a request.
+  Millis UnusedCloseTime(Millis accepted_at) const {
+    return std::max(*started_at_ + kDrainIdleCloseDelayMs, accepted_at + kSettleTimeMs);
   }
   bool RejectsIncompleteRequests(Millis now) const {
     return active() && now - *started_at_ > kDrainRequestTimeoutMs;
--- a/tests/proxy/body_progress_test.cpp
+++ b/tests/proxy/body_progress_test.cpp
@@ -69,6 +69,7 @@
   EXPECT_EQ(drain.IdleCloseTime(3700), 3900);
   EXPECT_EQ(drain.IdleCloseTime(3895), 3905);
   EXPECT_EQ(drain.IdleCloseTime(9000), 9010);
+  EXPECT_EQ(drain.UnusedCloseTime(9000), 9300);  // a new connection gets its time to send a request
 }
 
 // A request that could still be open when the drain must be complete, and is younger than 2 s then, would
