--- a/tests/proxy/operations_test.cpp
+++ b/tests/proxy/operations_test.cpp
@@ -1,9 +1,12 @@
 // Tests of the interfaces for operators: management commands, metrics, saved state, log records and drains.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <filesystem>
 #include <set>
 #include <sstream>
+#include <system_error>
+#include <thread>
 
 #include "base/log.hpp"
 #include "proxy/restart/saved_state.hpp"
@@ -165,10 +168,24 @@
   EXPECT_EQ(samples["elderhead_at_host_seconds_count{class=\"pay\"}"], 0);
 }
 
-// The path of the state folder of a test. Any folder at that path is removed before and after the test.
+// The path of the state folder of a test. Any folder at that path is removed before and after the test. The
+// thread of a StateSaver may outlive the gateway on a busy machine and still write files, so that the folder
+// is not empty when it is to be removed.
 struct StateFolder {
   StateFolder() { std::filesystem::remove_all(path); }
-  ~StateFolder() { std::filesystem::remove_all(path); }
+  ~StateFolder() {
+    constexpr auto kRemovalTimeout = std::chrono::seconds(10);
+    constexpr auto kRemovalInterval = std::chrono::milliseconds(20);
+    const auto give_up_at = std::chrono::steady_clock::now() + kRemovalTimeout;
+    std::error_code error;
+    while (std::filesystem::remove_all(path, error), error) {
+      if (std::chrono::steady_clock::now() > give_up_at) {
+        ADD_FAILURE() << "the state folder can't be removed: " << error.message();
+        return;
+      }
+      std::this_thread::sleep_for(kRemovalInterval);
+    }
+  }
   const std::string path = ::testing::TempDir() + "gateway-state-" + std::to_string(getpid());
 };
 
