Discovery address: one place orders all sources, and old ones are left

Cause: LoadConfig took NODE_DISCOVERY before the file, a reload took the file alone, and the transferred state had the list but not the address at which the predecessor watched it. Each start decided for itself, an old source won, and no line in the log showed it.

Change: setting_sources.* orders the sources of each setting that has several, for every start and reload. For discovery: file, running process (the predecessor transfers its address), environment. Once the watched address has published a change, no other is called. Where all sources agree there is no further call. The log names the source in force.

--- a/src/lab/scale/hollow_gateway.cpp
+++ b/src/lab/scale/hollow_gateway.cpp
@@ -18,8 +18,7 @@
 
 proxy::EndpointListWatcher::Options WatcherOptions(const proxy::Config& config) {
   proxy::EndpointListWatcher::Options options;
-  options.service = config.discovery;
-  options.other_services = config.other_list_services;
+  options.candidates = proxy::OrderDiscoverySources(config.discovery);
   options.seed = config.seed;
   options.revision = config.initial_list.revision;
   options.guard_mass_removal = config.guard_mass_removal;
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <vector>
 
 #include "base/socket_address.hpp"
@@ -13,6 +14,7 @@
 namespace gateway::proxy {
 namespace {
 
+using boost::asio::ip::tcp;
 using nlohmann::json;
 
 // Returns the text of a string without quotes, and the JSON of any other value.
@@ -62,24 +64,46 @@
   return file[pointer].get<double>();
 }
 
-// Reads an address from `value`, the value of an environment variable, if it is not null. Otherwise reads the
-// address from `field` of the file. Error messages refer to the address by `name`.
-boost::asio::ip::tcp::endpoint ReadAddress(const char* value, const std::string& name, const json& file,
-                                           const std::string& field) {
-  std::string text;
-  if (value != nullptr) {
-    text = value;
-  } else if (file.contains(field) && file[field].is_string()) {
-    text = file[field].get<std::string>();
-  } else {
-    throw ConfigError(name + ": not set");
-  }
+using VariableLookup = std::function<const char*(const char*)>;
+
+bool HasValue(const json& file, const char* key) { return file.contains(key) && !file[key].is_null(); }
+
+tcp::endpoint ParseAddress(const std::string& name, const std::string& text) {
   const auto endpoint = base::ParseSocketAddress(text);
   if (!endpoint) throw ConfigError(name + ": '" + text + "' is not an address and port");
   return *endpoint;
 }
 
-json ReadFile(const std::function<const char*(const char*)>& variable) {
+std::optional<std::string> ReadVariable(const VariableLookup& variable, const char* name) {
+  const char* const value = variable(name);
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+// Returns nullopt if the field is absent or no string.
+std::optional<std::string> ReadString(const json& file, const char* field) {
+  if (!file.contains(field) || !file[field].is_string()) return std::nullopt;
+  return file[field].get<std::string>();
+}
+
+// Chooses the value of a setting that identifies the process, and adds the comparison of its sources to
+// `config`. Returns nullopt if neither source provides a value.
+std::optional<std::string> ChooseProcessSetting(const char* setting,
+                                                const std::optional<std::string>& environment,
+                                                const std::optional<std::string>& file, Config& config) {
+  const std::vector<SourcedText> values = OrderProcessSetting(environment, file);
+  config.source_conflicts.push_back(FindConflict(setting, values));
+  return values.empty() ? std::nullopt : std::optional(values.front().value);
+}
+
+tcp::endpoint ReadProcessAddress(const VariableLookup& variable, const char* name, const json& file,
+                                 const char* field, Config& config) {
+  const std::optional<std::string> text =
+      ChooseProcessSetting(field, ReadVariable(variable, name), ReadString(file, field), config);
+  if (!text) throw ConfigError(std::string(name) + ": not set");
+  return ParseAddress(name, *text);
+}
+
+json ReadFile(const VariableLookup& variable) {
   const char* const path = variable("NODE_CONFIG");
   if (path == nullptr) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream stream(path);
@@ -89,25 +113,46 @@
   return file;
 }
 
-using VariableLookup = std::function<const char*(const char*)>;
+std::vector<tcp::endpoint> ReadDiscoveryEndpoints(const json& file) {
+  std::vector<tcp::endpoint> endpoints;
+  if (!HasValue(file, "discovery_endpoints")) return endpoints;
+  const json& services = file["discovery_endpoints"];
+  if (!services.is_array() || services.empty())
+    throw ConfigError("discovery_endpoints: must be a non-empty list of addresses");
+  for (const json& service : services) {
+    const auto address = base::ParseSocketAddress(service.is_string() ? service.get<std::string>() : "");
+    if (!address) throw ConfigError("discovery_endpoints: " + service.dump() + " is not an address and port");
+    endpoints.push_back(*address);
+  }
+  return endpoints;
+}
 
-bool HasValue(const json& file, const char* key) { return file.contains(key) && !file[key].is_null(); }
+DiscoverySources ReadDiscoverySources(const json& file, const VariableLookup& variable) {
+  DiscoverySources sources;
+  sources.file_services = ReadDiscoveryEndpoints(file);
+  if (const auto text = ReadString(file, "discovery")) sources.file = ParseAddress("discovery", *text);
+  if (const auto text = ReadVariable(variable, "NODE_DISCOVERY"))
+    sources.environment = ParseAddress("NODE_DISCOVERY", *text);
+  return sources;
+}
 
-void ReadListServices(const json& file, Config& config) {
-  if (HasValue(file, "discovery_endpoints")) {
-    const json& services = file["discovery_endpoints"];
-    if (!services.is_array() || services.empty())
-      throw ConfigError("discovery_endpoints: must be a non-empty list of addresses");
-    for (const json& service : services) {
-      const auto address = base::ParseSocketAddress(service.is_string() ? service.get<std::string>() : "");
-      if (!address)
-        throw ConfigError("discovery_endpoints: " + service.dump() + " is not an address and port");
-      config.other_list_services.push_back(*address);
-    }
-    config.guard_mass_removal = true;
-    config.discovery = config.other_list_services.front();
-    config.other_list_services.erase(config.other_list_services.begin());
+// At a start, a malformed `discovery` in the file does not prevent the start if NODE_DISCOVERY is set.
+DiscoverySources ReadInitialDiscoverySources(json& file, const VariableLookup& variable, Config& config) {
+  const auto environment = ReadVariable(variable, "NODE_DISCOVERY");
+  const auto text = ReadString(file, "discovery");
+  if (environment && text && !base::ParseSocketAddress(*text)) {
+    const std::string malformed = "'" + *text + "', which is no address";
+    config.source_conflicts.push_back(FindConflict(
+        "discovery", {{SettingSource::kEnvironment, *environment}, {SettingSource::kFile, malformed}}));
+    file.erase("discovery");
   }
+  DiscoverySources sources = ReadDiscoverySources(file, variable);
+  if (OrderDiscoverySources(sources).empty()) throw ConfigError("NODE_DISCOVERY: not set");
+  return sources;
+}
+
+void ReadListPolicy(const json& file, Config& config) {
+  config.guard_mass_removal = HasValue(file, "discovery_endpoints");
   config.max_removed_share = ReadPositiveNumber(file, "/list/most_removed", config.max_removed_share);
   config.list_stale_after =
       1000 * ReadPositiveNumber(file, "/list/old_after_s", config.list_stale_after / 1000);
@@ -116,9 +161,8 @@
 // Reads the management address and enables hot restart. Hot restart requires the management port, because
 // operators check there whether the new process is ready.
 void ReadManagement(const json& file, const VariableLookup& variable, Config& config) {
-  const char* const management = variable("NODE_MGMT");
-  if (management == nullptr && !HasValue(file, "mgmt")) return;
-  config.management = ReadAddress(management, "NODE_MGMT", file, "mgmt");
+  if (variable("NODE_MGMT") == nullptr && !HasValue(file, "mgmt")) return;
+  config.management = ReadProcessAddress(variable, "NODE_MGMT", file, "mgmt", config);
   const char* const folder = variable("TMPDIR");
   if (folder == nullptr || *folder == '\0') return;
   config.hot_restart_path =
@@ -148,8 +192,9 @@
   if (!HasValue(file, "state_dir")) return;
   const std::string folder = file["state_dir"].is_string() ? file["state_dir"].get<std::string>() : "";
   if (folder.empty()) throw ConfigError("state_dir: must be the path of a folder");
-  const char* const name = variable("NODE_NAME");
-  const std::string own_name = name != nullptr ? name : ScalarToText(file.value("name", json("")));
+  const auto file_name = file.contains("name") ? std::optional(ScalarToText(file["name"])) : std::nullopt;
+  const std::string own_name =
+      ChooseProcessSetting("name", ReadVariable(variable, "NODE_NAME"), file_name, config).value_or("");
   config.state_folder = folder;
   config.load_state = variable("ELDERHEAD_WITHOUT_STATE") == nullptr;
   if (const char* const delay = variable("ELDERHEAD_SLOW_SYNC_MS")) {
@@ -179,11 +224,11 @@
 }  // namespace
 
 Config LoadConfig(const std::function<const char*(const char*)>& variable) {
-  const json file = ReadFile(variable);
+  json file = ReadFile(variable);
   Config config;
-  config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
-  config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
-  ReadListServices(file, config);
+  config.listen = ReadProcessAddress(variable, "NODE_LISTEN", file, "listen", config);
+  config.discovery = ReadInitialDiscoverySources(file, variable, config);
+  ReadListPolicy(file, config);
   ReadManagement(file, variable, config);
   ReadSeed(file, config);
   ReadLimits(file, config);
@@ -193,10 +238,8 @@
   return config;
 }
 
-boost::asio::ip::tcp::endpoint LoadDiscoveryAddress(const std::function<const char*(const char*)>& variable) {
-  // Ignores NODE_DISCOVERY, because it contains the address at the start of the process, which may be out of
-  // date.
-  return ReadAddress(nullptr, "discovery", ReadFile(variable), "discovery");
+DiscoverySources LoadDiscoverySources(const std::function<const char*(const char*)>& variable) {
+  return ReadDiscoverySources(ReadFile(variable), variable);
 }
 
 }  // namespace gateway::proxy
--- a/src/proxy/config.hpp
+++ b/src/proxy/config.hpp
@@ -19,6 +19,7 @@
 #include "proxy/clock.hpp"
 #include "proxy/discovery/endpoint_list.hpp"
 #include "proxy/overload/process_memory.hpp"
+#include "proxy/setting_sources.hpp"
 
 namespace gateway::proxy {
 
@@ -26,12 +27,11 @@
 
 // The values of the NODE_* variables and of the configuration file. All times are in ms.
 struct Config {
-  boost::asio::ip::tcp::endpoint listen;                            // address on which clients connect
-  boost::asio::ip::tcp::endpoint discovery;                         // address of the first list service
-  std::vector<boost::asio::ip::tcp::endpoint> other_list_services;  // further services that publish the list
-  bool guard_mass_removal = false;                                  // see EndpointListWatcher::Options
-  double max_removed_share = 0.5;                                   // see EndpointListWatcher::Options
-  Millis list_stale_after = 30000;  // time without an accepted list after which the list is stale
+  boost::asio::ip::tcp::endpoint listen;  // address on which clients connect
+  DiscoverySources discovery;             // addresses of the list services; at least one is set
+  bool guard_mass_removal = false;        // see EndpointListWatcher::Options
+  double max_removed_share = 0.5;         // see EndpointListWatcher::Options
+  Millis list_stale_after = 30000;        // time without an accepted list after which the list is stale
   // Address of the management port; empty if there is none.
   std::optional<boost::asio::ip::tcp::endpoint> management;
   std::string hot_restart_path;               // path of the Unix socket for hot restarts; empty: disabled
@@ -48,6 +48,8 @@
   bool load_state = true;       // false: the gateway ignores and overwrites the saved state
   Millis state_sync_delay = 0;  // delay added to each sync of the state, for tests of a slow disk
   std::string state_owner;      // name and client address of the gateway that owns the state
+  // Comparisons of the environment and the file, to be logged at the start.
+  std::vector<SourceConflict> source_conflicts;
   base::LogFormat log_format = base::LogFormat::kText;
 };
 
@@ -55,8 +57,8 @@
 // variable, or null if the variable is not set. Throws ConfigError.
 Config LoadConfig(const std::function<const char*(const char*)>& variable);
 
-// Reads the address of discovery from the configuration file, for a reload. Throws ConfigError.
-boost::asio::ip::tcp::endpoint LoadDiscoveryAddress(const std::function<const char*(const char*)>& variable);
+// Reads the addresses of discovery from the environment and the file, for a reload. Throws ConfigError.
+DiscoverySources LoadDiscoverySources(const std::function<const char*(const char*)>& variable);
 
 }  // namespace gateway::proxy
 
--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -65,12 +65,28 @@
   StartCall();
 }
 
-void DiscoveryClient::ChangeAddress(const tcp::endpoint& address) {
+void DiscoveryClient::MoveTo(std::vector<tcp::endpoint> services) {
   KeepCallAsFormerCall();
-  next_call_.cancel();
-  options_.services.front() = address;
-  failover_.ResetToFirst();
   position_is_current_ = false;
+  ReplaceServices(std::move(services));
+}
+
+void DiscoveryClient::SwitchTo(std::vector<tcp::endpoint> services) {
+  AbandonCall();
+  ReplaceServices(std::move(services));
+}
+
+// Begins a watch at the first service. No call of the watch may be in progress.
+void DiscoveryClient::ReplaceServices(std::vector<tcp::endpoint> services) {
+  if (probe_) probe_->Abandon();
+  probe_.reset();
+  next_probe_.cancel();
+  switch_timer_.cancel();
+  switch_scheduled_ = false;
+  next_call_.cancel();
+  options_.services = std::move(services);
+  failover_ = ServiceFailover(options_.services.size(), options_.return_delay);
+  if (options_.services.size() > 1) ScheduleProbe();
   watching_ = true;
   StartCall();
 }
@@ -113,7 +129,7 @@
   failover_.RecordSuccess();
   const std::shared_ptr<ListCall> call = std::exchange(call_, nullptr);
   connection_ = call->TakeConnection();
-  AcceptList(*call, std::get<EndpointList>(std::move(result)));
+  AcceptList(*call, std::get<EndpointList>(std::move(result)), ListOrigin::kWatchedService);
   StartCallAfter(kMinCallIntervalMs - (Now() - call->started_at()));
 }
 
@@ -140,11 +156,11 @@
   return result;
 }
 
-void DiscoveryClient::AcceptList(const ListCall& call, EndpointList list) {
+void DiscoveryClient::AcceptList(const ListCall& call, EndpointList list, ListOrigin origin) {
   log_.LogList(list, Now() - call.started_at());
   last_list_at_ = Now();
   position_ = {list.revision, list.epoch};
-  observer_.OnEndpointList(std::move(list));
+  observer_.OnEndpointList(std::move(list), origin);
 }
 
 void DiscoveryClient::AbandonCall() {
@@ -168,7 +184,7 @@
   const std::shared_ptr<ListCall> call = former_call_;
   AbandonFormerCall();
   auto* const list = std::get_if<EndpointList>(&result);
-  if (list != nullptr) AcceptList(*call, std::move(*list));
+  if (list != nullptr) AcceptList(*call, std::move(*list), ListOrigin::kFormerService);
 }
 
 void DiscoveryClient::AbandonFormerCall() {
@@ -204,7 +220,7 @@
   if (list == nullptr) return;
   switch (failover_.EvaluateProbe(probed_service_, *list, position_, Now())) {
     case ProbeDecision::kStay: return;
-    case ProbeDecision::kReturnToFirst: return SwitchTo(0, "it responds again");
+    case ProbeDecision::kReturnToFirst: return SwitchToService(0, "it responds again");
     case ProbeDecision::kSwitchUnlessCaughtUp: return ScheduleSwitch(probed_service_, list->revision);
   }
 }
@@ -217,11 +233,11 @@
     switch_scheduled_ = false;
     const bool caught_up = position_.revision >= revision;
     if (caught_up || service == failover_.current()) return;
-    SwitchTo(service, "it has a newer revision, which the current service has not received");
+    SwitchToService(service, "it has a newer revision, which the current service has not received");
   });
 }
 
-void DiscoveryClient::SwitchTo(std::size_t service, const std::string& reason) {
+void DiscoveryClient::SwitchToService(std::size_t service, const std::string& reason) {
   base::Log(base::Level::kInfo, "discovery", "switched",
             "discovery: switched to service " + std::to_string(service) + " of " +
                 std::to_string(options_.services.size()) + ": " + reason);
--- a/src/proxy/discovery/discovery_client.hpp
+++ b/src/proxy/discovery/discovery_client.hpp
@@ -27,6 +27,12 @@
 
 namespace gateway::proxy {
 
+// The service that has sent an accepted list.
+enum class ListOrigin {
+  kWatchedService,
+  kFormerService,  // the service that was watched before MoveTo()
+};
+
 // To be used in the event loop's thread only.
 class DiscoveryClient final : private ListCall::Observer {
  public:
@@ -34,10 +40,11 @@
   class Observer {
    public:
     virtual ~Observer() = default;
-    // Called after the client has accepted a list from a service. The watch already continues from `list`.
-    virtual void OnEndpointList(EndpointList list) = 0;
+    // Called after the client has accepted a list. The watch already continues from `list`.
+    virtual void OnEndpointList(EndpointList list, ListOrigin origin) = 0;
     // Called when the watch has ended because every service failed in turn. `call_duration` is the time since
-    // the start of the last call. Watch(), which this method may call, and ChangeAddress() begin a new watch.
+    // the start of the last call. Watch(), MoveTo() and SwitchTo(), which this method may call, begin a new
+    // watch.
     // A probe also begins a new watch if it detects that another service has a newer list, or that the first
     // service responds again.
     virtual void OnWatchFailed(Millis call_duration) = 0;
@@ -72,15 +79,22 @@
   // Begins a watch from the current position. Does nothing while a watch is in progress.
   void Watch();
 
-  // Changes the address of the first service and at once begins a watch there from the current position. A
-  // call in progress at the former address continues. Its list is accepted if it arrives within 1.5 s and
-  // before the first list from the new address.
-  void ChangeAddress(const boost::asio::ip::tcp::endpoint& address);
+  // Replaces the services, because discovery has moved, and at once begins a watch at the first one from the
+  // current position. A call in progress at a former address continues. Its list is accepted if it arrives
+  // within 1.5 s and before the first list from a new address.
+  void MoveTo(std::vector<boost::asio::ip::tcp::endpoint> services);
+
+  // Replaces the services, because the former ones do not respond or have fallen behind, and at once begins a
+  // watch at the first one from the current position. Abandons a call in progress.
+  void SwitchTo(std::vector<boost::asio::ip::tcp::endpoint> services);
 
   // Time at which the client last accepted a list; 0 if it has not accepted any.
   Millis last_list_at() const { return last_list_at_; }
-  // Index of the watched service, from 0.
+  // Index of the watched service, from 0, and its address.
   std::size_t service_index() const { return failover_.current(); }
+  const boost::asio::ip::tcp::endpoint& service() const { return options_.services[failover_.current()]; }
+  // Position of the last accepted list; before the first one, that of the options.
+  const WatchPosition& position() const { return position_; }
 
  private:
   void OnListCallEnded(ListCall& call, ListCall::Result result) override;
@@ -93,7 +107,7 @@
   void WatchCallEnded(ListCall::Result result);
   void WatchCallFailed(const ListError& error);
   ListCall::Result Validate(ListCall::Result result, bool same_service);
-  void AcceptList(const ListCall& call, EndpointList list);
+  void AcceptList(const ListCall& call, EndpointList list, ListOrigin origin);
   void AbandonCall();
 
   // The call that was in progress at the former address when the address changed.
@@ -106,7 +120,8 @@
   void StartProbe();
   void ProbeEnded(const ListCall::Result& result);
   void ScheduleSwitch(std::size_t service, std::int64_t revision);
-  void SwitchTo(std::size_t service, const std::string& reason);
+  void SwitchToService(std::size_t service, const std::string& reason);
+  void ReplaceServices(std::vector<boost::asio::ip::tcp::endpoint> services);
 
   double RandomBetween(double low, double high);
 
--- a/src/proxy/discovery/endpoint_list_watcher.cpp
+++ b/src/proxy/discovery/endpoint_list_watcher.cpp
@@ -1,16 +1,16 @@
 #include "proxy/discovery/endpoint_list_watcher.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 namespace gateway::proxy {
 namespace {
 
-DiscoveryClient::Options ClientOptions(EndpointListWatcher::Options options) {
+DiscoveryClient::Options ClientOptions(const EndpointListWatcher::Options& options) {
   DiscoveryClient::Options client;
-  client.services = std::move(options.other_services);
-  client.services.insert(client.services.begin(), options.service);
-  client.position = {options.revision, std::move(options.epoch)};
+  client.services = options.candidates.front().services;
+  client.position = {options.revision, options.epoch};
   client.position_is_current = options.position_is_current;
   client.seed = options.seed;
   return client;
@@ -22,7 +22,25 @@
     : callbacks_(std::move(callbacks)),
       guard_mass_removal_(options.guard_mass_removal),
       max_removed_share_(options.max_removed_share),
-      client_(io, ClientOptions(std::move(options)), *this) {}
+      client_(io, ClientOptions(options), *this),
+      source_failover_(io, options.seed, MakeSourceCallbacks()) {
+  source_failover_.Start(std::move(options.candidates));
+}
+
+SourceFailover::Callbacks EndpointListWatcher::MakeSourceCallbacks() {
+  SourceFailover::Callbacks callbacks;
+  callbacks.position = [this] { return client_.position(); };
+  callbacks.is_plausible = [this](const EndpointList& list) { return SharesEndpoint(list); };
+  callbacks.switch_to = [this](const std::vector<boost::asio::ip::tcp::endpoint>& services) {
+    client_.SwitchTo(services);
+  };
+  return callbacks;
+}
+
+void EndpointListWatcher::MoveTo(std::vector<DiscoveryCandidate> candidates) {
+  client_.MoveTo(candidates.front().services);
+  source_failover_.Start(std::move(candidates));
+}
 
 void EndpointListWatcher::Apply(const EndpointList& list) {
   revision_ = list.revision;
@@ -46,12 +64,24 @@
   return list;
 }
 
-void EndpointListWatcher::OnEndpointList(EndpointList list) {
+void EndpointListWatcher::OnEndpointList(EndpointList list, ListOrigin origin) {
   callbacks_.list_received();
   Apply(list);
+  source_failover_.RecordList(origin);
+}
+
+void EndpointListWatcher::OnWatchFailed(Millis call_duration) {
+  callbacks_.watch_failed(call_duration);
+  source_failover_.RecordFailure();
 }
 
-void EndpointListWatcher::OnWatchFailed(Millis call_duration) { callbacks_.watch_failed(call_duration); }
+bool EndpointListWatcher::SharesEndpoint(const EndpointList& list) const {
+  if (endpoints_.empty()) return true;
+  return std::ranges::any_of(list.endpoints, [this](const ListedEndpoint& endpoint) {
+    const auto known = endpoints_.find(endpoint.info.id);
+    return known != endpoints_.end() && known->second.address == endpoint.address;
+  });
+}
 
 // Applies the drains of a rejected list, because a drain is safe even if the service has lost its data.
 std::string EndpointListWatcher::RejectionReason(const EndpointList& list) {
--- a/src/proxy/discovery/endpoint_list_watcher.hpp
+++ b/src/proxy/discovery/endpoint_list_watcher.hpp
@@ -1,5 +1,6 @@
-// Maintains the current endpoint list: applies the lists that the discovery client accepts, and rejects mass
-// removals that no operator has confirmed. Independent of requests and of connections to endpoints, so a
+// Maintains the current endpoint list: applies the lists that the discovery client accepts, rejects mass
+// removals that no operator has confirmed, and changes to another source of the address of discovery if the
+// current one fails. Independent of requests and of connections to endpoints, so a
 // gateway that watches the list without forwarding requests can also use it.
 #ifndef GATEWAY_PROXY_DISCOVERY_ENDPOINT_LIST_WATCHER_HPP_
 #define GATEWAY_PROXY_DISCOVERY_ENDPOINT_LIST_WATCHER_HPP_
@@ -17,6 +18,8 @@
 #include "proxy/discovery/discovery_client.hpp"
 #include "proxy/discovery/endpoint_list.hpp"
 #include "proxy/discovery/mass_removal_guard.hpp"
+#include "proxy/discovery/source_failover.hpp"
+#include "proxy/setting_sources.hpp"
 
 namespace gateway::proxy {
 
@@ -24,9 +27,8 @@
 class EndpointListWatcher final : private DiscoveryClient::Observer {
  public:
   struct Options {
-    boost::asio::ip::tcp::endpoint service;
-    // Further services that publish the list, in the order in which the client tries them.
-    std::vector<boost::asio::ip::tcp::endpoint> other_services;
+    // The sources of the address of discovery, at least one; see OrderDiscoverySources.
+    std::vector<DiscoveryCandidate> candidates;
     std::uint64_t seed = 0;  // seed of the jitter of calls
     // The position from which the first call continues, and whether this position is known to come from these
     // services; see DiscoveryClient::Options.
@@ -59,9 +61,14 @@
 
   // See DiscoveryClient.
   void Watch() { client_.Watch(); }
-  void ChangeAddress(const boost::asio::ip::tcp::endpoint& address) { client_.ChangeAddress(address); }
   Millis last_list_at() const { return client_.last_list_at(); }
   std::size_t service_index() const { return client_.service_index(); }
+  const boost::asio::ip::tcp::endpoint& service() const { return client_.service(); }
+  const std::vector<DiscoveryCandidate>& candidates() const { return source_failover_.candidates(); }
+
+  // Replaces the sources of the address of discovery and at once begins a watch at the first one.
+  // `candidates` must not be empty.
+  void MoveTo(std::vector<DiscoveryCandidate> candidates);
 
   // The endpoints of the current list, which are up or draining.
   const EndpointsById& endpoints() const { return endpoints_; }
@@ -70,9 +77,11 @@
   EndpointList Snapshot() const;
 
  private:
-  void OnEndpointList(EndpointList list) override;
+  void OnEndpointList(EndpointList list, ListOrigin origin) override;
   void OnWatchFailed(Millis call_duration) override;
   std::string RejectionReason(const EndpointList& list) override;
+  SourceFailover::Callbacks MakeSourceCallbacks();
+  bool SharesEndpoint(const EndpointList& list) const;
 
   const Callbacks callbacks_;
   const bool guard_mass_removal_;
@@ -81,6 +90,7 @@
   std::int64_t revision_ = 0;
   std::string epoch_;  // epoch of `revision_`; empty if the service sends no epoch
   DiscoveryClient client_;
+  SourceFailover source_failover_;
 };
 
 // Returns the event that reports an applied list to the policy.
--- a/src/proxy/discovery/service_failover.hpp
+++ b/src/proxy/discovery/service_failover.hpp
@@ -39,8 +39,6 @@
 
   // Makes `service` the current service.
   void SwitchTo(std::size_t service, Millis now);
-  // Makes the first service the current service. To be called when its address has changed.
-  void ResetToFirst() { current_ = 0; }
 
   // Returns the service to probe next: the first service if a return to it is due, otherwise the
   // unwatched services in turn. Requires at least two services.
@@ -56,7 +54,7 @@
     return current_ != 0 && now - switched_from_first_at_ >= return_delay_;
   }
 
-  const std::size_t service_count_;
+  std::size_t service_count_;
   Millis return_delay_;
   std::size_t current_ = 0;
   std::size_t consecutive_failures_ = 0;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/log.hpp"
+#include "base/socket_address.hpp"
 #include "proxy/admin/start_log.hpp"
 #include "proxy/client/body_progress.hpp"
 #include "proxy/clock.hpp"
@@ -53,28 +54,20 @@
   return LoadSavedState(config.state_folder, config.state_owner);
 }
 
-// If there is a predecessor process, the watch continues from the list that it transferred. Otherwise the
-// watch continues from the configured or the saved revision, whichever is higher. If the saved revision is
-// higher, the first list from the service is accepted with any revision, because the service may have
-// restarted its revision count since the save.
+// The watch continues from the list with which the process starts.
 EndpointListWatcher::Options WatcherOptions(const Config& config, const InheritedState& inherited,
                                             const std::optional<SavedState>& saved) {
+  const InitialList initial = ChooseInitialList(config.initial_list, inherited.transferred, saved);
+  DiscoverySources sources = config.discovery;
+  if (inherited.transferred) sources.running_process = inherited.transferred->discovery;
   EndpointListWatcher::Options options;
-  options.service = config.discovery;
-  options.other_services = config.other_list_services;
+  options.candidates = OrderDiscoverySources(sources);
   options.seed = config.seed;
   options.guard_mass_removal = config.guard_mass_removal;
   options.max_removed_share = config.max_removed_share;
-  options.revision = config.initial_list.revision;
-  options.position_is_current = true;
-  if (inherited.transferred) {
-    options.revision = inherited.transferred->list.revision;
-    options.epoch = inherited.transferred->list.epoch;
-  } else if (saved) {
-    options.revision = std::max(config.initial_list.revision, saved->list.revision);
-    options.epoch = saved->list.epoch;
-    options.position_is_current = saved->list.revision <= config.initial_list.revision;
-  }
+  options.revision = initial.list.revision;
+  options.epoch = initial.list.epoch;
+  options.position_is_current = initial.position_is_current;
   return options;
 }
 
@@ -144,6 +137,7 @@
       commands_(*this, metrics_),
       status_log_(io, list_stale_after_, [this] { return Status(); }) {
   StartManagement(config);
+  LogSourceConflicts(config, inherited.transferred, saved);
   RestoreList(config, inherited.transferred, saved);
   StartSaving(config);
   RestoreLearnedState(inherited.transferred, saved);
@@ -217,27 +211,33 @@
                       [this](const std::string& command) { return commands_.Run(command); });
 }
 
-// Applies the list that a predecessor transferred. Without a transferred list, applies the saved or the
-// configured list, whichever has the higher revision. Restores an operator's drain from the saved state,
-// unless there is a transferred list: a successor starts without a drain.
+void Gateway::LogSourceConflicts(const Config& config, const std::optional<TransferredState>& transferred,
+                                 const std::optional<SavedState>& saved) const {
+  for (const SourceConflict& conflict : config.source_conflicts) LogSourceConflict(conflict);
+  LogSourceConflict(FindConflict(list_.candidates()));
+  const InitialList initial = ChooseInitialList(config.initial_list, transferred, saved);
+  LogSourceConflict(FindConflict(initial, config.initial_list, transferred, saved));
+  LogSourceConflict(FindDrainConflict(transferred, saved));
+}
+
+// Applies the list and the operator's drain with which the process starts.
 void Gateway::RestoreList(const Config& config, const std::optional<TransferredState>& transferred,
                           const std::optional<SavedState>& saved) {
-  list_from_state_ = !transferred && saved && saved->list.revision > config.initial_list.revision;
-  if (!transferred && saved && saved->draining) SetDraining(true);
+  const InitialList initial = ChooseInitialList(config.initial_list, transferred, saved);
+  list_from_state_ = initial.source == SettingSource::kSavedState;
+  if (ChooseInitialDrain(transferred, saved)) SetDraining(true);
   list_confirmed_at_ = list_from_state_ ? saved->list_valid_at : Now();
-  if (transferred) return list_.Apply(transferred->list);
-  list_.Apply(list_from_state_ ? saved->list : config.initial_list);
+  list_.Apply(initial.list);
   if (list_from_state_)
     LogRestoredList(list_.revision(), list_.endpoints().size(), Now() - saved->list_valid_at);
 }
 
 void Gateway::RestoreLearnedState(const std::optional<TransferredState>& transferred,
                                   const std::optional<SavedState>& saved) {
-  if (transferred) return driver_.policy().ImportState(Now(), transferred->learned);
-  if (!saved || !saved->learned) return;
-  const policy::LearnedState& learned = *saved->learned;
-  driver_.policy().ImportState(Now(), learned);
-  LogRestoredLearnedState(learned.endpoints.size(), Now() - learned.exported_at);
+  const policy::LearnedState* const learned = ChooseLearnedState(transferred, saved);
+  if (learned == nullptr) return;
+  driver_.policy().ImportState(Now(), *learned);
+  if (!transferred) LogRestoredLearnedState(learned->endpoints.size(), Now() - learned->exported_at);
 }
 
 // To be called after RestoreList. Otherwise the list from the configuration could overwrite a newer list on
@@ -269,11 +269,14 @@
   return Now() - std::max(list_.last_list_at(), started_at_) > list_stale_after_;
 }
 
-void Gateway::ChangeDiscoveryAddress(const asio::ip::tcp::endpoint& address) {
-  const std::string text = address.address().to_string() + ":" + std::to_string(address.port());
+void Gateway::ChangeDiscovery(DiscoverySources sources) {
+  sources.running_process = list_.service();
+  std::vector<DiscoveryCandidate> candidates = OrderDiscoverySources(sources);
+  const std::string text = base::FormatSocketAddress(candidates.front().services.front());
   base::Log(base::Level::kInfo, "discovery", "moved", "discovery address changed to " + text,
             {{"address", text}});
-  list_.ChangeAddress(address);
+  LogSourceConflict(FindConflict(candidates));
+  list_.MoveTo(std::move(candidates));
 }
 
 std::optional<asio::ip::tcp::endpoint> Gateway::management() const {
--- a/src/proxy/gateway.hpp
+++ b/src/proxy/gateway.hpp
@@ -28,6 +28,7 @@
 #include "proxy/restart/state_save_schedule.hpp"
 #include "proxy/restart/state_saver.hpp"
 #include "proxy/restart/transferred_state.hpp"
+#include "proxy/setting_sources.hpp"
 #include "proxy/upstream/upstream_pool.hpp"
 
 namespace gateway::proxy {
@@ -44,8 +45,9 @@
   // The address of the management port, if it is configured.
   std::optional<boost::asio::ip::tcp::endpoint> management() const;
 
-  // Changes the address of the first list service and at once begins a watch of the endpoint list there.
-  void ChangeDiscoveryAddress(const boost::asio::ip::tcp::endpoint& address);
+  // Changes the addresses of discovery and at once begins a watch of the endpoint list at the one in force.
+  // The address in force until now is `running_process`.
+  void ChangeDiscovery(DiscoverySources sources);
 
   // Stops gracefully: accepts connections for a short time, responds to all requests, writes the responses
   // that have begun completely, then calls `done`. If a successor process is ready, stops accepting
@@ -62,6 +64,8 @@
   ClientCallbacks MakeClientCallbacks();
 
   // Startup.
+  void LogSourceConflicts(const Config& config, const std::optional<TransferredState>& transferred,
+                          const std::optional<SavedState>& saved) const;
   void RestoreList(const Config& config, const std::optional<TransferredState>& transferred,
                    const std::optional<SavedState>& saved);
   void RestoreLearnedState(const std::optional<TransferredState>& transferred,
@@ -80,7 +84,9 @@
   void SetDraining(bool draining) override;
   void SaveWithin(Millis delay);
   void LimitConnections(bool half);
-  TransferredState StateForSuccessor() const { return {list_.Snapshot(), driver_.policy().ExportState()}; }
+  TransferredState StateForSuccessor() const {
+    return {list_.Snapshot(), driver_.policy().ExportState(), list_.service()};
+  }
   void StopForSuccessor(const std::function<void()>& done);
   void TimeOutRequestsAfter(Millis delay, const std::function<void()>& done);
   void ExitWhenNothingIsPending(const std::function<void()>& done);
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -57,7 +57,7 @@
         [&](const boost::system::error_code& ec, int) {
           if (ec) return;
           try {
-            gateway.ChangeDiscoveryAddress(proxy::LoadDiscoveryAddress(variable));
+            gateway.ChangeDiscovery(proxy::LoadDiscoverySources(variable));
           } catch (const proxy::ConfigError& error) {  // the gateway keeps the former address
             base::Log(base::Level::kError, "config", "not_reloaded",
                       std::string("configuration not reloaded: ") + error.what());
--- a/src/proxy/restart/transferred_state.hpp
+++ b/src/proxy/restart/transferred_state.hpp
@@ -2,6 +2,7 @@
 #ifndef GATEWAY_PROXY_RESTART_TRANSFERRED_STATE_HPP_
 #define GATEWAY_PROXY_RESTART_TRANSFERRED_STATE_HPP_
 
+#include <boost/asio/ip/tcp.hpp>
 #include <optional>
 #include <string>
 
@@ -13,6 +14,9 @@
 struct TransferredState {
   EndpointList list;  // a snapshot
   policy::LearnedState learned;
+  // The discovery service that the predecessor watches. Empty if it does not transfer the address, as
+  // versions up to 0.1.0, or if the address is malformed.
+  std::optional<boost::asio::ip::tcp::endpoint> discovery = std::nullopt;
 };
 
 std::string SerializeTransferredState(const TransferredState& state);
--- a/tests/proxy/discovery_test.cpp
+++ b/tests/proxy/discovery_test.cpp
@@ -48,7 +48,7 @@
     client.emplace(io, options, *this);
     client->Watch();
   }
-  void OnEndpointList(EndpointList list) override { revisions.push_back(list.revision); }
+  void OnEndpointList(EndpointList list, proxy::ListOrigin) override { revisions.push_back(list.revision); }
   void OnWatchFailed(Millis) override { ++failures; }
   std::string RejectionReason(const EndpointList&) override { return rejection_reason; }
   ::testing::AssertionResult Until(const std::function<bool()>& condition) {
@@ -260,7 +260,7 @@
     error_code ignored;
     asio::write(discovery.requests[0].connection->socket, asio::buffer(text), ignored);
   }
-  void ChangeAddress() { gateway->ChangeDiscoveryAddress(new_discovery.address()); }
+  void ChangeAddress() { gateway->ChangeDiscovery({.file = new_discovery.address()}); }
   // Makes a few management calls. When they return, the gateway has read all bytes that its sockets had
   // received before.
   void RunEventLoop() {
--- a/tests/proxy/peers.hpp
+++ b/tests/proxy/peers.hpp
@@ -108,7 +108,11 @@
     }
   };
 
-  explicit FakeServer(asio::io_context& io) : io_(io), acceptor_(io, Loopback()) { Accept(); }
+  // By default listens on a free port.
+  explicit FakeServer(asio::io_context& io, const tcp::endpoint& address = Loopback())
+      : io_(io), acceptor_(io, address) {
+    Accept();
+  }
   ~FakeServer() {
     for (const auto& connection : connections) connection->Close();
   }
--- a/tests/proxy/program.hpp
+++ b/tests/proxy/program.hpp
@@ -45,15 +45,18 @@
   ProgramFixture(const ProgramFixture&) = delete;
   ProgramFixture& operator=(const ProgramFixture&) = delete;
 
-  Instance Start(const ProcessLimits& limits = {}) {
+  // `variables` replace variables of the environment of the same name.
+  Instance Start(const ProcessLimits& limits = {},
+                 const std::vector<std::pair<std::string, std::string>>& variables = {}) {
     Instance instance{ReserveAddress(), nullptr};
-    instance.process = std::make_unique<Process>(
-        std::vector<std::pair<std::string, std::string>>{{"NODE_CONFIG", file->path},
-                                                         {"NODE_LISTEN", ToText(listen)},
-                                                         {"NODE_DISCOVERY", ToText(discovery.address())},
-                                                         {"NODE_MGMT", ToText(instance.management)},
-                                                         {"TMPDIR", folder.string()}},
-        limits);
+    std::vector<std::pair<std::string, std::string>> environment = {
+        {"NODE_CONFIG", file->path},
+        {"NODE_LISTEN", ToText(listen)},
+        {"NODE_DISCOVERY", ToText(discovery.address())},
+        {"NODE_MGMT", ToText(instance.management)},
+        {"TMPDIR", folder.string()}};
+    environment.insert(environment.end(), variables.begin(), variables.end());
+    instance.process = std::make_unique<Process>(environment, limits);
     return instance;
   }
   // Starts a process and waits until it accepts clients.
