Reload: a file that is completed later, and a signal to one of two processes

What callers would see: after a SIGHUP that came while the platform was still writing the file, the gateway stayed at the address that discovery had left; so did the predecessor or successor that got no signal. A process that started while the file was being written ended with exit code 1.

Cause: the reload read the file once, in the process that got the signal, and its handler was installed after the file had been read.

Predecessor and successor notify each other of a SIGHUP ("reload" on their socket, which earlier versions ignore) and compare the file with what they have read; so does each process after its start and when a watch has failed.

--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -107,9 +107,10 @@
   const char* const path = variable("NODE_CONFIG");
   if (path == nullptr) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream stream(path);
-  if (!stream) throw ConfigError(std::string("NODE_CONFIG: can't read '") + path + "'");
+  if (!stream) throw ConfigFileError(std::string("NODE_CONFIG: can't read '") + path + "'");
   json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
-  if (!file.is_object()) throw ConfigError(std::string("NODE_CONFIG: '") + path + "' is not a JSON object");
+  if (!file.is_object())
+    throw ConfigFileError(std::string("NODE_CONFIG: '") + path + "' is not a JSON object");
   return file;
 }
 
--- a/src/proxy/config.hpp
+++ b/src/proxy/config.hpp
@@ -25,6 +25,13 @@
 
 using base::ConfigError;
 
+// The configuration file can't be read or is not a JSON object. It may be complete a moment later, if another
+// program is writing it.
+class ConfigFileError : public ConfigError {
+ public:
+  using ConfigError::ConfigError;
+};
+
 // The values of the NODE_* variables and of the configuration file. All times are in ms.
 struct Config {
   boost::asio::ip::tcp::endpoint listen;  // address on which clients connect
@@ -54,10 +61,11 @@
 };
 
 // Loads the configuration from the environment and the file. `variable` returns the value of an environment
-// variable, or null if the variable is not set. Throws ConfigError.
+// variable, or null if the variable is not set. Throws ConfigFileError or ConfigError.
 Config LoadConfig(const std::function<const char*(const char*)>& variable);
 
-// Reads the addresses of discovery from the environment and the file, for a reload. Throws ConfigError.
+// Reads the addresses of discovery from the environment and the file, for a reload. Throws ConfigFileError or
+// ConfigError.
 DiscoverySources LoadDiscoverySources(const std::function<const char*(const char*)>& variable);
 
 }  // namespace gateway::proxy
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -155,6 +155,7 @@
   };
   callbacks.list_changed = [this](const EndpointList& list) { ApplyList(list); };
   callbacks.watch_failed = [this](Millis call_duration) {
+    check_config_();
     driver_.Report(policy::EndpointListEvent{policy::EndpointListEvent::Kind::kFailure, {}, call_duration});
   };
   return callbacks;
@@ -186,6 +187,7 @@
   callbacks.requests_released = [this](const std::vector<policy::RequestDigest>& ids) {
     requests_.RemoveRemoteClaims(ids);
   };
+  callbacks.config_replaced = [this] { check_config_(); };
   return callbacks;
 }
 
--- a/src/proxy/gateway.hpp
+++ b/src/proxy/gateway.hpp
@@ -45,10 +45,18 @@
   // The address of the management port, if it is configured.
   std::optional<boost::asio::ip::tcp::endpoint> management() const;
 
+  // Sets a function that reads the configuration file again and calls ChangeDiscovery() if the addresses of
+  // discovery have changed. The gateway calls it from the event loop when a watch of the endpoint list has
+  // failed, and when another process of this gateway has received SIGHUP.
+  void SetConfigCheck(std::function<void()> check) { check_config_ = std::move(check); }
+
   // Changes the addresses of discovery and at once begins a watch of the endpoint list at the one in force.
   // The address in force until now is `running_process`.
   void ChangeDiscovery(DiscoverySources sources);
 
+  // Notifies the other processes of this gateway, if there are any, that the configuration file was replaced.
+  void ShareReload() { hot_restart_.ShareReload(); }
+
   // Stops gracefully: accepts connections for a short time, responds to all requests, writes the responses
   // that have begun completely, then calls `done`. If a successor process is ready, stops accepting
   // connections at once and transfers the idle connections to the successor.
@@ -94,6 +102,7 @@
   void RunAfter(Millis delay, std::function<void()> action);
 
   boost::asio::io_context& io_;
+  std::function<void()> check_config_ = [] {};
   const policy::Settings settings_;
   const DescriptorBudget budget_;  // half of this budget applies while two processes run as this gateway
   PolicyDriver driver_;
--- a/src/proxy/restart/hot_restart.cpp
+++ b/src/proxy/restart/hot_restart.cpp
@@ -83,9 +83,16 @@
   if (successor_) successor_->Send(RequestsReleased{{id}});
 }
 
-// Returns whether the message was a claim or a release. Relays it, because three processes may run for a
-// short time: the first one completes its last requests while the third one starts.
-bool HotRestart::HandleClaims(HotRestartChannel* relay_to, const HotRestartMessage& message) {
+void HotRestart::ShareReload() {
+  reload_during_transfer_ = true;
+  if (predecessor_) predecessor_->Send(ConfigReplaced{});
+  if (successor_) successor_->Send(ConfigReplaced{});
+}
+
+// Returns whether the message was one for all processes: a claim, a release or a reload. Relays it, because
+// three processes may run for a short time: the first one completes its last requests while the third one
+// starts.
+bool HotRestart::HandleShared(HotRestartChannel* relay_to, const HotRestartMessage& message) {
   if (const auto* const claimed = std::get_if<RequestsClaimed>(&message)) {
     callbacks_.requests_claimed(claimed->ids);
     if (relay_to != nullptr) relay_to->Send(*claimed);
@@ -96,6 +103,11 @@
     if (relay_to != nullptr) relay_to->Send(*released);
     return true;
   }
+  if (std::holds_alternative<ConfigReplaced>(message)) {
+    callbacks_.config_replaced();
+    if (relay_to != nullptr) relay_to->Send(ConfigReplaced{});
+    return true;
+  }
   return false;
 }
 
@@ -110,7 +122,7 @@
 
 void HotRestart::OnMessage(HotRestartChannel& channel, HotRestartMessage message) {
   HotRestartChannel* const relay_to = &channel == predecessor_.get() ? successor_.get() : predecessor_.get();
-  if (HandleClaims(relay_to, message)) return;
+  if (HandleShared(relay_to, message)) return;
   if (&channel == predecessor_.get()) {
     OnPredecessorMessage(std::move(message));
   } else if (std::holds_alternative<SuccessorReady>(message)) {
@@ -148,7 +160,10 @@
   return callbacks_.listener();
 }
 
-TransferredState HotRestart::StateForSuccessor() { return callbacks_.export_state(); }
+TransferredState HotRestart::StateForSuccessor() {
+  reload_during_transfer_ = false;
+  return callbacks_.export_state();
+}
 
 void HotRestart::OnSuccessor(std::unique_ptr<HotRestartChannel> channel) {
   base::Log(base::Level::kInfo, "replacement", "successor_came", "a successor process has connected");
@@ -156,6 +171,7 @@
   successor_state_ = SuccessorState::kStarting;
   BeginOverlap();
   SendClaimsToSuccessor();
+  if (reload_during_transfer_) successor_->Send(ConfigReplaced{});
   successor_->SetObserver(*this);
 }
 
--- a/src/proxy/restart/hot_restart.hpp
+++ b/src/proxy/restart/hot_restart.hpp
@@ -59,6 +59,8 @@
     // Refuses, or accepts again, requests that the other process has claimed or released.
     std::function<void(const std::vector<policy::RequestDigest>& ids)> requests_claimed;
     std::function<void(const std::vector<policy::RequestDigest>& ids)> requests_released;
+    // Another process has received SIGHUP: the configuration file may have changed.
+    std::function<void()> config_replaced;
   };
 
   // `path` is the path of the Unix socket to which successors connect. If it is empty, no successor can
@@ -81,6 +83,9 @@
   void ShareClaim(const policy::RequestDigest& id);
   void ShareRelease(const policy::RequestDigest& id);
 
+  // Notifies the other processes, if there are any, that this process has received SIGHUP.
+  void ShareReload();
+
   // Returns whether a successor is connected and accepts clients.
   bool HasReadySuccessor() const;
 
@@ -117,7 +122,7 @@
   void OnSuccessor(std::unique_ptr<HotRestartChannel> channel) override;
 
   void OnPredecessorMessage(HotRestartMessage message);
-  bool HandleClaims(HotRestartChannel* relay_to, const HotRestartMessage& message);
+  bool HandleShared(HotRestartChannel* relay_to, const HotRestartMessage& message);
   void SendClaimsToSuccessor();
   void OnPredecessorDisconnected();
   void OnSuccessorDisconnected();
@@ -135,6 +140,8 @@
   std::unique_ptr<HotRestartChannel> predecessor_;
   std::unique_ptr<HotRestartChannel> successor_;
   bool rate_is_halved_ = false;
+  bool reload_during_transfer_ =
+      false;  // whether SIGHUP arrived after the state for a successor was exported
   std::optional<SuccessorAcceptor> acceptor_;
 };
 
--- a/src/proxy/restart/hot_restart_message.cpp
+++ b/src/proxy/restart/hot_restart_message.cpp
@@ -20,6 +20,7 @@
 constexpr const char* kClientText = "client";
 constexpr std::string_view kClaimText = "claim";
 constexpr std::string_view kReleaseText = "release";
+constexpr const char* kReloadText = "reload";
 constexpr std::size_t kHexDigitsPerWord = 16;
 
 std::string EncodeIds(std::string_view text, const std::vector<policy::RequestDigest>& ids) {
@@ -66,6 +67,7 @@
   Packet operator()(const RequestsReleased& message) const {
     return {EncodeIds(kReleaseText, message.ids), {}};
   }
+  Packet operator()(const ConfigReplaced&) const { return {kReloadText, {}}; }
 };
 
 }  // namespace
@@ -76,6 +78,7 @@
   if (packet.text == kHelloText) return Hello{};
   if (packet.text == kReadyText) return SuccessorReady{};
   if (packet.text == kLeavingText) return PredecessorLeaving{};
+  if (packet.text == kReloadText) return ConfigReplaced{};
   if (packet.text == kListenerText && packet.descriptor)
     return ListenerTransfer{std::move(packet.descriptor)};
   if (packet.text == kClientText && packet.descriptor) return ClientTransfer{std::move(packet.descriptor)};
--- a/src/proxy/restart/hot_restart_message.hpp
+++ b/src/proxy/restart/hot_restart_message.hpp
@@ -10,9 +10,10 @@
 //   ClientTransfer      predecessor  "client"             a client connection
 //   RequestsClaimed     both         "claim" and IDs      -
 //   RequestsReleased    both         "release" and IDs    -
+//   ConfigReplaced      both         "reload"             -
 //
-// An ID is the digest of a request ID in 32 hex digits, after a space. Versions that do not know the last two
-// messages ignore them.
+// An ID is the digest of a request ID in 32 hex digits, after a space. Versions that do not know the last
+// three messages ignore them.
 #ifndef GATEWAY_PROXY_RESTART_HOT_RESTART_MESSAGE_HPP_
 #define GATEWAY_PROXY_RESTART_HOT_RESTART_MESSAGE_HPP_
 
@@ -64,11 +65,16 @@
   std::vector<policy::RequestDigest> ids;
 };
 
+// The sender has received SIGHUP: the configuration file was replaced. The platform may signal only one of
+// the processes.
+struct ConfigReplaced {};
+
 // The result of decoding a message that is malformed or of another protocol version. Never sent.
 struct UnknownMessage {};
 
-using HotRestartMessage = std::variant<UnknownMessage, Hello, ListenerTransfer, StateTransfer, SuccessorReady,
-                                       PredecessorLeaving, ClientTransfer, RequestsClaimed, RequestsReleased>;
+using HotRestartMessage =
+    std::variant<UnknownMessage, Hello, ListenerTransfer, StateTransfer, SuccessorReady, PredecessorLeaving,
+                 ClientTransfer, RequestsClaimed, RequestsReleased, ConfigReplaced>;
 
 // `message` must not be an UnknownMessage.
 Packet EncodeMessage(HotRestartMessage message);
--- a/src/proxy/setting_sources.cpp
+++ b/src/proxy/setting_sources.cpp
@@ -91,6 +91,7 @@
 
 SourceConflict FindConflict(const std::vector<DiscoveryCandidate>& candidates) {
   std::vector<SourcedText> values;
+  values.reserve(candidates.size());
   for (const DiscoveryCandidate& candidate : candidates) {
     values.push_back({candidate.source, ServicesToText(candidate.services)});
   }
--- a/tests/proxy/discovery_move_test.cpp
+++ b/tests/proxy/discovery_move_test.cpp
@@ -296,6 +296,32 @@
   fixture.ExpectReceivesChange(next, fixture.b, 43);
 }
 
+// The signal may arrive while the platform is still writing the file. No second signal follows.
+TEST(DiscoveryMove, ReloadsAFileThatIsCompletedAfterTheSignal) {
+  DiscoveryMoveFixture fixture;
+  fixture.WriteFile(fixture.a.address());
+  auto process = fixture.StartReadyWith(fixture.a);
+  std::ofstream(fixture.file->path) << "{";
+  process.process->Reload();
+  ASSERT_TRUE(fixture.Logs(process, "configuration not reloaded"));
+  fixture.ExpectReceivesChange(process, fixture.a, 42);  // the former address stays in force
+  fixture.WriteFile(fixture.b.address());
+  fixture.ExpectReceivesChange(process, fixture.b, 43);
+}
+
+// A process may start while the platform is writing the file.
+TEST(DiscoveryMove, StartsWhenTheFileIsCompletedSoon) {
+  DiscoveryMoveFixture fixture;
+  std::ofstream(fixture.file->path) << "{";
+  auto process = fixture.StartWith(fixture.a);
+  asio::steady_timer timer(fixture.io, std::chrono::milliseconds(200));
+  timer.async_wait([&](error_code) { fixture.WriteFile(fixture.a.address()); });
+  EXPECT_TRUE(fixture.BecomesReady(process)) << process.process->StandardError();
+  // The signal for this file may arrive at any time of the start.
+  process.process->Reload();
+  fixture.ExpectReceivesChange(process, fixture.a, 42);
+}
+
 TEST(DiscoveryMove, StartsWithTheEnvironmentIfTheAddressInTheFileIsMalformed) {
   DiscoveryMoveFixture fixture;
   nlohmann::json config = {{"discovery", "nowhere"}, {"settings", TestSettings()}};
@@ -307,6 +333,23 @@
                                         " (environment), not 'nowhere', which is no address (file)"));
 }
 
+// The platform signals the program that it has started, of which two processes run during a replacement. The
+// address that discovery has left still responds, so no failed call leads to the new one.
+TEST(DiscoveryMove, ReloadOfOneProcessReachesTheOtherProcess) {
+  for (const bool signal_predecessor : {true, false}) {
+    SCOPED_TRACE(signal_predecessor ? "predecessor" : "successor");
+    DiscoveryMoveFixture fixture;
+    fixture.WriteFile(fixture.a.address());
+    auto old = fixture.StartReadyWith(fixture.a);
+    auto next = fixture.StartReadyWith(fixture.a);
+    ASSERT_TRUE(fixture.Logs(old, "successor process has connected"));
+    fixture.WriteFile(fixture.b.address());
+    (signal_predecessor ? old : next).process->Reload();
+    fixture.ExpectReceivesChange(next, fixture.b, 42);
+    fixture.ExpectReceivesChange(old, fixture.b, 43);
+  }
+}
+
 // Another system may use the address that discovery has left, and publish a list of its own with higher
 // revisions. The gateway must not send requests to the hosts of that system.
 TEST(DiscoveryMove, IgnoresTheListOfAnotherSystem) {
@@ -321,6 +364,17 @@
   EXPECT_EQ(process.process->StandardError().find("switched"), std::string::npos);
 }
 
+// A process that has missed the signal reads the file again when its watch fails.
+TEST(DiscoveryMove, FailedWatchLeadsToTheAddressOfAReplacedFile) {
+  DiscoveryMoveFixture fixture;
+  fixture.WriteFile(fixture.a.address());
+  auto process = fixture.StartReadyWith(fixture.a);
+  ASSERT_TRUE(fixture.Watches(fixture.a));
+  fixture.WriteFile(fixture.b.address());
+  fixture.a.Leave();
+  fixture.ExpectReceivesChange(process, fixture.b, 42);
+}
+
 // Once the address in force has published a change, no other address is called, until a watch fails.
 TEST(DiscoveryMove, CallsOnlyTheAddressThatPublishesChanges) {
   DiscoveryMoveFixture fixture;
--- a/tests/proxy/hot_restart_test.cpp
+++ b/tests/proxy/hot_restart_test.cpp
@@ -53,6 +53,8 @@
             "claim 00000000000000010000000000abcdef 00000000000000020000000000000003");
   EXPECT_EQ(proxy::EncodeMessage(proxy::RequestsReleased{{{1, 2}}}).text,
             "release 00000000000000010000000000000002");
+  EXPECT_EQ(proxy::EncodeMessage(proxy::ConfigReplaced{}).text, "reload");
+  EXPECT_TRUE(std::holds_alternative<proxy::ConfigReplaced>(proxy::DecodeMessage({"reload", {}})));
   const proxy::TransferredState state{{42, true, {}, "", 0}, {}};
   EXPECT_EQ(proxy::EncodeMessage(proxy::StateTransfer{state}).text,
             R"({"at":0.0,"classes":[],"failing":0.0,"gateways":0,"kinds":[],)"
@@ -75,38 +77,71 @@
   EXPECT_TRUE(std::holds_alternative<proxy::ClientTransfer>(message));
 }
 
-// A successor may be ready so soon that both of its messages wait in the socket when the predecessor reads
-// the first one. If the predecessor lost the second message, it would close its clients' connections at
-// SIGTERM instead of transferring them.
-TEST(HotRestart, NoticesASuccessorThatIsReadyBeforeItsFirstMessageIsRead) {
+// A predecessor that serves and that a test drives, without a gateway.
+struct PredecessorFixture {
+  PredecessorFixture() {
+    callbacks.is_ready = [] { return true; };
+    callbacks.is_stopping = [] { return false; };
+    callbacks.listener = [this] { return listener.native_handle(); };
+    callbacks.export_state = [] { return proxy::TransferredState{}; };
+    callbacks.scale_rate = [](double) {};
+    callbacks.limit_connections = [](bool) {};
+    callbacks.adopt_client = [](base::FileDescriptor) {};
+    callbacks.claimed_requests = [] { return std::vector<policy::RequestDigest>{}; };
+    callbacks.requests_claimed = [](const std::vector<policy::RequestDigest>&) {};
+    callbacks.requests_released = [](const std::vector<policy::RequestDigest>&) {};
+    callbacks.config_replaced = [] {};
+  }
+  ~PredecessorFixture() { ::unlink(path.c_str()); }
+  // Starts the predecessor, and connects a successor to it.
+  ::testing::AssertionResult Connect() {
+    predecessor.emplace(io, path, base::FileDescriptor(), /*address_in_use=*/false, callbacks);
+    predecessor->Start();
+    const auto address = proxy::ToUnixAddress(path);
+    if (!successor || !address) return ::testing::AssertionFailure() << "no socket";
+    if (::connect(successor.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0)
+      return ::testing::AssertionFailure() << std::strerror(errno);
+    return ::testing::AssertionSuccess();
+  }
+  proxy::SendResult Send(proxy::HotRestartMessage message) {
+    return proxy::SendPacket(successor.get(), proxy::EncodeMessage(std::move(message)));
+  }
+
   asio::io_context io;
-  tcp::acceptor listener(io, Loopback());
+  tcp::acceptor listener{io, Loopback()};
   const std::string path = ::testing::TempDir() + "gateway-early-" + std::to_string(getpid()) + ".sock";
   proxy::HotRestart::Callbacks callbacks;
-  callbacks.is_ready = [] { return true; };
-  callbacks.is_stopping = [] { return false; };
-  callbacks.listener = [&] { return listener.native_handle(); };
-  callbacks.export_state = [] { return proxy::TransferredState{}; };
-  callbacks.scale_rate = [](double) {};
-  callbacks.limit_connections = [](bool) {};
-  callbacks.adopt_client = [](base::FileDescriptor) {};
-  callbacks.claimed_requests = [] { return std::vector<policy::RequestDigest>{}; };
-  callbacks.requests_claimed = [](const std::vector<policy::RequestDigest>&) {};
-  callbacks.requests_released = [](const std::vector<policy::RequestDigest>&) {};
-  proxy::HotRestart predecessor(io, path, {}, /*address_in_use=*/false, callbacks);
-  predecessor.Start();
+  std::optional<proxy::HotRestart> predecessor;
   const base::FileDescriptor successor = proxy::OpenPacketSocket();
-  const auto address = proxy::ToUnixAddress(path);
-  ASSERT_TRUE(successor && address);
-  ASSERT_EQ(::connect(successor.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address), 0);
-  const auto send = [&](proxy::HotRestartMessage message) {
-    return proxy::SendPacket(successor.get(), proxy::EncodeMessage(std::move(message)));
+};
+
+// A successor may be ready so soon that both of its messages wait in the socket when the predecessor reads
+// the first one. If the predecessor lost the second message, it would close its clients' connections at
+// SIGTERM instead of transferring them.
+TEST(HotRestart, NoticesASuccessorThatIsReadyBeforeItsFirstMessageIsRead) {
+  PredecessorFixture fixture;
+  ASSERT_TRUE(fixture.Connect());
+  ASSERT_EQ(fixture.Send(proxy::Hello{}), proxy::SendResult::kSent);
+  ASSERT_EQ(fixture.Send(proxy::SuccessorReady{}), proxy::SendResult::kSent);
+  EXPECT_FALSE(fixture.predecessor->HasReadySuccessor());
+  EXPECT_TRUE(RunUntil(fixture.io, [&] { return fixture.predecessor->HasReadySuccessor(); }));
+}
+
+// SIGHUP may arrive after the state for the successor was exported and before the successor is connected. The
+// successor has the former address then, and the signal was not for it.
+TEST(HotRestart, NotifiesASuccessorOfAReloadDuringTheTransfer) {
+  PredecessorFixture fixture;
+  fixture.callbacks.export_state = [&] {
+    asio::post(fixture.io, [&] { fixture.predecessor->ShareReload(); });
+    return proxy::TransferredState{};
   };
-  ASSERT_EQ(send(proxy::Hello{}), proxy::SendResult::kSent);
-  ASSERT_EQ(send(proxy::SuccessorReady{}), proxy::SendResult::kSent);
-  EXPECT_FALSE(predecessor.HasReadySuccessor());
-  EXPECT_TRUE(RunUntil(io, [&] { return predecessor.HasReadySuccessor(); }));
-  ::unlink(path.c_str());
+  ASSERT_TRUE(fixture.Connect());
+  ASSERT_EQ(fixture.Send(proxy::Hello{}), proxy::SendResult::kSent);
+  EXPECT_TRUE(RunUntil(fixture.io, [&] {
+    proxy::Packet packet;
+    return proxy::ReceivePacket(fixture.successor.get(), packet) == proxy::ReceiveResult::kReceived &&
+           packet.text == "reload";
+  }));
 }
 
 // During a hot restart a client could lose its connection or its request. The test opens an idle connection
