Probes every 2 s; a test that a reload replaces the list services

Cause: after a reload a change has to arrive within 4 s, and the probe's interval of 3 s left no room for that where the file is the old source. Change: the interval is 2 s.

--- a/src/proxy/discovery/source_prober.cpp
+++ b/src/proxy/discovery/source_prober.cpp
@@ -13,9 +13,9 @@
 constexpr Millis kSourceProbeTimeoutMs = 1000;
 constexpr const char* kCompleteListTarget = "/discovery/hosts";
 constexpr Millis kCompleteListTimeoutMs = 3500;
-// A gateway must receive a change within 6 s. The interval, the timeout of a probe and
-// SourceSelection::kCatchUpTimeoutMs leave 1 s for the call that follows.
-constexpr Millis kMaxIntervalMs = 3000;
+// After a reload a gateway must receive a change within 4 s, otherwise within 6 s. The interval and
+// SourceSelection::kCatchUpTimeoutMs leave 1 s for the calls, and 2 s more if a probe and a call are slow.
+constexpr Millis kMaxIntervalMs = 2000;
 constexpr Millis kMinIntervalMs = 500;
 // The maximum share by which the interval is shortened at random, to spread the probes of many gateways.
 constexpr double kIntervalJitterShare = 0.25;
--- a/src/proxy/discovery/source_prober.hpp
+++ b/src/proxy/discovery/source_prober.hpp
@@ -33,7 +33,7 @@
   SourceProber(const SourceProber&) = delete;
   SourceProber& operator=(const SourceProber&) = delete;
 
-  // Probes the sources at once, except `skipped`, and from then on at least every 3 s until Stop().
+  // Probes the sources at once, except `skipped`, and from then on at least every 2 s until Stop().
   // `sources` has the services of each source, at least one each; each round probes one of them.
   void Start(std::vector<std::vector<boost::asio::ip::tcp::endpoint>> sources, std::size_t skipped);
   // Brings the next round forward to 500 ms after the start of the last one. Does nothing after Stop().
--- a/tests/proxy/discovery_move_test.cpp
+++ b/tests/proxy/discovery_move_test.cpp
@@ -111,11 +111,16 @@
 
   // Replaces the configuration file. Without an address, the file names none.
   void WriteFile(const std::optional<tcp::endpoint>& address) {
+    nlohmann::json fields = nlohmann::json::object();
+    if (address) fields["discovery"] = ToText(*address);
+    WriteFileWith(fields);
+  }
+  void WriteFileWith(const nlohmann::json& fields) {
     nlohmann::json config = {
         {"seed", "1f"},
         {"known", MakeEndpointList(kInitialRevision, true, {MakeEndpointEntry("h0", host().address())})},
         {"settings", TestSettings()}};
-    if (address) config["discovery"] = ToText(*address);
+    config.update(fields);
     const std::string next = file->path + ".new";
     std::ofstream(next) << config;
     std::filesystem::rename(next, file->path);
@@ -296,6 +301,22 @@
   fixture.ExpectReceivesChange(next, fixture.b, 43);
 }
 
+// A reload must also read the services in `discovery_endpoints`, which take precedence over `discovery`.
+TEST(DiscoveryMove, ReloadReplacesTheListServices) {
+  DiscoveryMoveFixture fixture;
+  fixture.WriteFileWith({{"discovery_endpoints", {ToText(fixture.a.address())}}});
+  auto old = fixture.StartReadyWith(fixture.a);
+  ASSERT_TRUE(fixture.Watches(fixture.a));
+  fixture.WriteFileWith({{"discovery_endpoints", {ToText(fixture.c.address()), ToText(fixture.b.address())}},
+                         {"discovery", ToText(fixture.a.address())}});
+  old.process->Reload();
+  fixture.c.Leave();  // the second service is used if the first one fails
+  fixture.ExpectReceivesChange(old, fixture.b, 42);
+  auto next = fixture.StartReadyWith(fixture.a);
+  fixture.End(old);
+  fixture.ExpectReceivesChange(next, fixture.b, 43);
+}
+
 // The signal may arrive while the platform is still writing the file. No second signal follows.
 TEST(DiscoveryMove, ReloadsAFileThatIsCompletedAfterTheSignal) {
   DiscoveryMoveFixture fixture;
