--- a/tests/proxy/discovery_move_test.cpp
+++ b/tests/proxy/discovery_move_test.cpp
@@ -135,6 +135,15 @@
     EXPECT_TRUE(BecomesReady(instance)) << instance.process->StandardError();
     return instance;
   }
+  // Starts a process that watches `a`, and moves it to `b` by a reload.
+  Instance StartAndMove() {
+    WriteFile(a.address());
+    Instance instance = StartReadyWith(a);
+    WriteFile(b.address());
+    instance.process->Reload();
+    EXPECT_TRUE(Watches(b));
+    return instance;
+  }
   bool Watches(const ListService& service, std::size_t earlier_calls = 0) {
     return RunUntil(io, [&] { return service.calls() > earlier_calls; });
   }
@@ -163,11 +172,7 @@
 // Without the address in the file, a successor would use NODE_DISCOVERY, which discovery has left, for good.
 TEST(DiscoveryMove, SuccessorWatchesTheAddressOfTheReloadedFile) {
   DiscoveryMoveFixture fixture;
-  fixture.WriteFile(fixture.a.address());
-  auto old = fixture.StartReadyWith(fixture.a);
-  fixture.WriteFile(fixture.b.address());
-  old.process->Reload();
-  ASSERT_TRUE(fixture.Watches(fixture.b));
+  auto old = fixture.StartAndMove();
   fixture.a.Leave();
   auto next = fixture.StartReadyWith(fixture.a);
   fixture.End(old);
@@ -182,11 +187,7 @@
 // A process that is killed starts again with the environment of its first start.
 TEST(DiscoveryMove, RestartedProcessWatchesTheAddressOfTheReloadedFile) {
   DiscoveryMoveFixture fixture;
-  fixture.WriteFile(fixture.a.address());
-  auto old = fixture.StartReadyWith(fixture.a);
-  fixture.WriteFile(fixture.b.address());
-  old.process->Reload();
-  ASSERT_TRUE(fixture.Watches(fixture.b));
+  auto old = fixture.StartAndMove();
   fixture.a.Leave();
   old.process->Kill();
   ASSERT_TRUE(RunUntil(fixture.io, [&] { return old.process->HasExited(); }));
@@ -196,11 +197,7 @@
 
 TEST(DiscoveryMove, SuccessorsFollowSeveralMoves) {
   DiscoveryMoveFixture fixture;
-  fixture.WriteFile(fixture.a.address());
-  auto first = fixture.StartReadyWith(fixture.a);
-  fixture.WriteFile(fixture.b.address());
-  first.process->Reload();
-  ASSERT_TRUE(fixture.Watches(fixture.b));
+  auto first = fixture.StartAndMove();
   fixture.a.Leave();
   auto second = fixture.StartReadyWith(fixture.a);
   fixture.End(first);
@@ -251,11 +248,7 @@
 // The file and the environment are old, only the predecessor knows the address.
 TEST_P(DiscoveryLeft, SuccessorUsesTheAddressOfThePredecessorIfTheOtherSourcesAreOld) {
   DiscoveryMoveFixture fixture;
-  fixture.WriteFile(fixture.a.address());
-  auto old = fixture.StartReadyWith(fixture.a);
-  fixture.WriteFile(fixture.b.address());
-  old.process->Reload();
-  ASSERT_TRUE(fixture.Watches(fixture.b));
+  auto old = fixture.StartAndMove();
   GetParam().leave(fixture.a);
   fixture.ExpectReceivesChange(old, fixture.b, 42);
   fixture.WriteFile(fixture.a.address());
@@ -286,11 +279,7 @@
 // Without the field in the file, the running process knows the newest address.
 TEST(DiscoveryMove, FileWithoutAnAddressKeepsTheAddressInForce) {
   DiscoveryMoveFixture fixture;
-  fixture.WriteFile(fixture.a.address());
-  auto old = fixture.StartReadyWith(fixture.a);
-  fixture.WriteFile(fixture.b.address());
-  old.process->Reload();
-  ASSERT_TRUE(fixture.Watches(fixture.b));
+  auto old = fixture.StartAndMove();
   fixture.WriteFile(std::nullopt);
   const std::size_t earlier_calls = fixture.b.calls();
   old.process->Reload();
